--- /dev/null
+++ b/crates/filbertgrade-coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/filbertgrade/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
