--- /dev/null
+++ b/crates/filbertgrade-standins/src/common.rs
@@ -0,0 +1,46 @@
+//! Helpers that every stand-in shares.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks `mutex` and ignores poisoning, so that one failed test assertion does not hide the
+/// records behind a second panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Decodes `%XX` escapes. A malformed escape is kept as it is.
+pub(crate) fn percent_decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut i = 0;
+    while i < bytes.len() {
+        let escape = (bytes[i] == b'%')
+            .then(|| bytes.get(i + 1..i + 3))
+            .flatten();
+        let decoded = escape
+            .and_then(|hex| std::str::from_utf8(hex).ok())
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        out.push(decoded.unwrap_or(bytes[i]));
+        i += if decoded.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// Iterates over the decoded `name=value` pairs of a query string.
+pub(crate) fn query_pairs(query: Option<&str>) -> impl Iterator<Item = (String, String)> + '_ {
+    query
+        .unwrap_or("")
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            (percent_decode(name), percent_decode(value))
+        })
+}
+
+/// Returns the first decoded value of `name` in a query string.
+pub(crate) fn query_value(query: Option<&str>, name: &str) -> Option<String> {
+    query_pairs(query)
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value)
+}
