Add the backend server stand-in

The answer depends on the request id, the body digest and each position, so a crossed, cut or reordered answer fails the comparison at the caller.

Refused requests are read to the end before the refusal is sent, because an early answer resets the connection and the caller can lose a true 'not run'.

--- a/crates/filbertgrade-standins/src/lib.rs
+++ b/crates/filbertgrade-standins/src/lib.rs
@@ -2,6 +2,9 @@
 //! command.
 //!
 //! - [`platform`] is the object API with versions, conditional updates and watches.
+//! - [`backend`] is a backend server with slots, cold starts, load reports and drains.
 
+mod answer;
+pub mod backend;
 mod common;
 pub mod platform;
