Add the coordination crate with its public API

The entry and the agent need the ledger, slot book, lease, freshness and versioned map before they can be written, so all signatures land first, with working bodies.

--- /dev/null
+++ b/crates/filbertgrade-coord/examples/slot_turns.rs
@@ -0,0 +1,40 @@
+//! A large and a small team wait for the slots of one endpoint, and take turns.
+//!
+//! Run with `cargo run -p filbertgrade-coord --example slot_turns`.
+
+use std::error::Error;
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::names::{EndpointName, TeamName, VmName};
+use filbertgrade_coord::slots::{Acquire, Origin, SlotBook, SlotConfig, SlotRequest, Temperature};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let now = Instant::now();
+    let mut book = SlotBook::new(1, SlotConfig::default());
+    book.set_endpoint(now, EndpointName::try_from("e1")?, 1, Temperature::Warm);
+
+    let mut running = None;
+    for team in ["large", "large", "large", "large", "small"] {
+        let request = SlotRequest {
+            team: TeamName::try_from(team)?,
+            holder: VmName::try_from("gent-a-1")?,
+            origin: Origin::Local,
+            deadline: now + Duration::from_secs(1),
+        };
+        match book.acquire(now, request) {
+            Acquire::Granted(grant) => {
+                println!("{team}: granted {}", grant.endpoint);
+                running = Some(grant.permit);
+            }
+            Acquire::Queued(ticket) => println!("{team}: queued as {}", ticket.get()),
+            Acquire::Refused(cause) => println!("{team}: refused, {cause:?}"),
+        }
+    }
+    while let Some(permit) = running.take() {
+        for late in book.release(now, permit) {
+            println!("{}: granted {}", late.request.team, late.grant.endpoint);
+            running = Some(late.grant.permit);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/filbertgrade-coord/src/ledger.rs
@@ -0,0 +1,847 @@
+//! One team's rate and burst at one VM, with loans between VMs.
+//!
+//! Over all VMs and parcels in transit, the sum of rate parts is at most the
+//! team's rate, the sum of burst parts at most its burst, and every holder's
+//! tokens at most its burst part. Every window then admits at most
+//! `burst + rate * length`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::bucket::{Part, TokenBucket};
+use crate::names::{TeamName, VmName};
+
+/// The share ledger of one team at one VM.
+///
+/// A loan counts against its lender until the lender has taken it back, and
+/// its borrower stops using it earlier than that by the borrower's own clock.
+/// Messages may be lost, duplicated or late: that loses tokens and never
+/// creates them.
+///
+/// Every operation first processes what has expired by `now`, in order of
+/// time, so a process that was paused cannot spend what lapsed meanwhile.
+#[derive(Clone, Debug)]
+pub struct ShareLedger {
+    team: TeamName,
+    vm: VmName,
+    incarnation: u64,
+    cfg: LedgerConfig,
+    /// The base may be used from this instant on.
+    usable_from: Instant,
+    /// Capacity is the base at hand, if usable, plus all loans in.
+    bucket: TokenBucket,
+    table_version: u64,
+    /// The base that the share table gives.
+    target: Part,
+    /// The base is valid until this instant; `None` before the first permission.
+    base_until: Option<Instant>,
+    base_usable: bool,
+    loans_out: BTreeMap<LoanId, LoanOut>,
+    loans_in: BTreeMap<LoanId, LoanIn>,
+    /// Asks whose loans would still run. Parcels of other asks are not credited.
+    asks: BTreeMap<u64, OpenAsk>,
+    asked_at: Option<Instant>,
+    next_ask: u64,
+    next_loan: u64,
+    arrivals: ArrivalRate,
+    waiting: u32,
+}
+
+/// Settings of a [`ShareLedger`]; they must be the same on every VM.
+#[derive(Clone, Debug)]
+pub struct LedgerConfig {
+    /// How long a loan runs, counted from the borrower's send time. Default 2 s.
+    ///
+    /// A lease under a few round trips expires before it is used. A long one
+    /// keeps a crashed borrower's part unused for as long, and delays
+    /// [`usable_from`](LedgerConfig::start_hold).
+    pub loan_lease: Duration,
+    /// How much later than the lease the lender takes a loan back. Default 500 ms.
+    ///
+    /// It covers the difference in speed of two clocks over one lease. With
+    /// too little, lender and borrower may use the same part at once.
+    pub margin: Duration,
+    /// Shortest time between two asks. Default 50 ms.
+    pub ask_interval: Duration,
+    /// Time constant of the measured arrival rate. Default 1 s.
+    pub demand_window: Duration,
+    /// Factor on the measured arrival rate when it is compared with a rate. Default 1.1.
+    pub demand_headroom: f64,
+    /// Fraction of the base that is never lent, so that the first requests
+    /// after a quiet time need no loan. Default 0.1.
+    pub lend_reserve: f64,
+    /// Most requests that wait for a token at once. Default 1,024.
+    pub max_waiting: u32,
+}
+
+impl Default for LedgerConfig {
+    fn default() -> Self {
+        Self {
+            loan_lease: Duration::from_secs(2),
+            margin: Duration::from_millis(500),
+            ask_interval: Duration::from_millis(50),
+            demand_window: Duration::from_secs(1),
+            demand_headroom: 1.1,
+            lend_reserve: 0.1,
+            max_waiting: 1024,
+        }
+    }
+}
+
+impl LedgerConfig {
+    /// Time after start before the base may be used.
+    ///
+    /// Loans of the VM's earlier incarnation have expired by then.
+    pub fn start_hold(&self) -> Duration {
+        self.loan_lease + self.margin
+    }
+}
+
+/// Identifies a loan. `incarnation` and `number` are the lender's.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LoanId {
+    /// The VM that lends.
+    pub lender: VmName,
+    /// The incarnation of the lending ledger.
+    pub incarnation: u64,
+    /// Counts the loans of the incarnation.
+    pub number: u64,
+}
+
+/// Identifies an ask. `incarnation` and `number` are the borrower's.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskId {
+    /// The VM that asks.
+    pub borrower: VmName,
+    /// The incarnation of the asking ledger.
+    pub incarnation: u64,
+    /// Counts the asks of the incarnation.
+    pub number: u64,
+}
+
+/// What a VM asks its peers to lend. The same ask may go to several peers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Names the ask in the parcels that answer it.
+    pub id: AskId,
+    /// Wanted capacity.
+    pub part: Part,
+    /// Wanted tokens, at most the wanted burst.
+    pub tokens: f64,
+}
+
+/// Capacity and tokens on their way from a lender to a borrower.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parcel {
+    /// The loan.
+    pub loan: LoanId,
+    /// The ask that the loan answers.
+    pub ask: AskId,
+    /// Lent capacity.
+    pub part: Part,
+    /// Lent tokens, at most the lent burst.
+    pub tokens: f64,
+}
+
+/// Tokens of a loan that the borrower gives back early.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Return {
+    /// The loan that ends.
+    pub loan: LoanId,
+    /// Unused tokens, at most the lent burst.
+    pub tokens: f64,
+}
+
+/// A borrower's request to extend a loan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Renewal {
+    /// The loan to extend.
+    pub loan: LoanId,
+    /// Counts the renewals of the loan; the reply must carry the same number.
+    pub number: u64,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The request took a token.
+    Admitted,
+    /// The request counts as waiting until [`ShareLedger::retry`] admits it or
+    /// [`ShareLedger::abandon`] is called.
+    Wait {
+        /// When the own bucket will have a token for it if no loan comes;
+        /// `None` if only a loan can help.
+        retry_at: Option<Instant>,
+    },
+    /// The request was not run and does not count as waiting.
+    Refused(AdmissionRefusal),
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionRefusal {
+    /// The base may not be used, and there is no loan to use instead.
+    BaseUnusable,
+    /// [`LedgerConfig::max_waiting`] requests are waiting.
+    QueueFull,
+}
+
+/// What a lender answers to an ask.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Lend {
+    /// Send the parcel. Its part and tokens are debited already.
+    Parcel(Parcel),
+    /// Nothing is lent.
+    Declined(LendRefusal),
+}
+
+/// Why nothing was lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LendRefusal {
+    /// The ask comes from this VM, or its tokens exceed its burst.
+    Malformed,
+    /// A loan for the same ask is running.
+    AlreadyLent,
+    /// The base may not be used.
+    BaseUnusable,
+    /// The base is about to shrink.
+    Shrinking,
+    /// Own demand leaves nothing free.
+    OwnDemand,
+}
+
+/// What a borrower did with a parcel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credit {
+    /// The loan is in use until this instant.
+    Credited {
+        /// End of the lease by the own clock.
+        until: Instant,
+    },
+    /// The loan was credited before.
+    Duplicate,
+    /// The ask is unknown or so old that its loans have expired.
+    Late,
+    /// The parcel holds more tokens than burst.
+    Malformed,
+}
+
+/// A lender's answer to a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Renewed {
+    /// The loan runs for another lease from the borrower's send time.
+    Extended,
+    /// The loan is unknown, or the lender needs it back when it ends.
+    Declined,
+}
+
+/// What a borrower does about one of its loans.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LoanAction {
+    /// Ask the lender to extend it.
+    Renew(Renewal),
+    /// Give it back, because demand no longer needs it.
+    GiveBack(Return),
+}
+
+/// A plain copy of a ledger's state for operators and tests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LedgerSnapshot {
+    /// The team.
+    pub team: TeamName,
+    /// The VM.
+    pub vm: VmName,
+    /// The incarnation of the ledger.
+    pub incarnation: u64,
+    /// Version of the share table in use.
+    pub table_version: u64,
+    /// The base that the table gives.
+    pub target: Part,
+    /// The base that counts against this VM, loans out included. It is above
+    /// `target` while a shrink waits for loans to return.
+    pub base: Part,
+    /// Whether the base may be used.
+    pub base_usable: bool,
+    /// Loans to other VMs: id, borrower, part and when it is taken back.
+    pub loans_out: Vec<(LoanId, VmName, Part, Instant)>,
+    /// Loans from other VMs: id, part and when it expires.
+    pub loans_in: Vec<(LoanId, Part, Instant)>,
+    /// Capacity of the bucket.
+    pub part: Part,
+    /// Tokens in the bucket.
+    pub tokens: f64,
+    /// Requests waiting for a token.
+    pub waiting: u32,
+    /// Measured arrivals per second.
+    pub demand: f64,
+}
+
+#[derive(Clone, Debug)]
+struct LoanOut {
+    ask: AskId,
+    part: Part,
+    reclaim_at: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct LoanIn {
+    part: Part,
+    expires_at: Instant,
+    /// The newest renewal and its send time. An answer to an older one is
+    /// ignored, because the lender may have counted its lease from earlier.
+    renewal: Option<(u64, Instant)>,
+    renewals: u64,
+}
+
+#[derive(Clone, Debug)]
+struct OpenAsk {
+    sent_at: Instant,
+    credited: BTreeSet<LoanId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Event {
+    LoanExpires,
+    LoanReclaimed,
+    BaseOpens,
+    BaseLapses,
+}
+
+impl ShareLedger {
+    /// Creates a ledger without base, loans and tokens.
+    ///
+    /// `incarnation` must differ between any two ledgers that a VM ever
+    /// creates for a team; otherwise a late message of the earlier one could
+    /// be taken for one of this.
+    pub fn new(
+        team: TeamName,
+        vm: VmName,
+        incarnation: u64,
+        cfg: LedgerConfig,
+        now: Instant,
+    ) -> Self {
+        Self {
+            team,
+            vm,
+            incarnation,
+            usable_from: now + cfg.start_hold(),
+            bucket: TokenBucket::new(Part::ZERO, now),
+            table_version: 0,
+            target: Part::ZERO,
+            base_until: None,
+            base_usable: false,
+            loans_out: BTreeMap::new(),
+            loans_in: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            asked_at: None,
+            next_ask: 0,
+            next_loan: 0,
+            arrivals: ArrivalRate::new(cfg.demand_window, now),
+            waiting: 0,
+            cfg,
+        }
+    }
+
+    /// Takes over the base of a share table version; an older version is ignored.
+    ///
+    /// Growth takes effect at once, without tokens. A shrink takes effect as
+    /// far as the part is at hand, and for the rest as loans return.
+    pub fn set_base(&mut self, now: Instant, table_version: u64, base: Part) {
+        self.advance(now);
+        if table_version < self.table_version {
+            return;
+        }
+        self.table_version = table_version;
+        self.target = base;
+        self.refit(now);
+    }
+
+    /// Permits use of the base until `until`, which comes from freshness.
+    ///
+    /// `table_version` is the version that the freshness evidence covers.
+    /// Returns false, without effect, if the ledger has not taken over that
+    /// version: its base may have been given to others since.
+    pub fn allow_base(&mut self, now: Instant, table_version: u64, until: Instant) -> bool {
+        self.advance(now);
+        if table_version != self.table_version {
+            return false;
+        }
+        self.base_until = Some(until);
+        self.base_usable = self.usable_from <= now && now < until;
+        self.refit(now);
+        true
+    }
+
+    /// Forbids use of the base at once; tokens beyond the loans' burst are lost.
+    pub fn forbid_base(&mut self, now: Instant) {
+        self.advance(now);
+        self.base_until = None;
+        self.base_usable = false;
+        self.refit(now);
+    }
+
+    /// The table version whose base is in effect, for acknowledgement.
+    ///
+    /// Returns `None` while a shrink waits for loans to return, and while
+    /// loans of an earlier incarnation may still run.
+    pub fn version_in_effect(&mut self, now: Instant) -> Option<u64> {
+        self.advance(now);
+        let in_effect = now >= self.usable_from && self.base() == self.target;
+        in_effect.then_some(self.table_version)
+    }
+
+    /// Decides about a request that has just arrived.
+    pub fn admit(&mut self, now: Instant) -> Admission {
+        self.advance(now);
+        self.arrivals.record(now);
+        if self.waiting == 0 && self.bucket.try_take(now) {
+            return Admission::Admitted;
+        }
+        let lapsed = !self.base_usable && now >= self.usable_from;
+        if lapsed && self.loans_in.is_empty() {
+            return Admission::Refused(AdmissionRefusal::BaseUnusable);
+        }
+        if self.waiting >= self.cfg.max_waiting {
+            return Admission::Refused(AdmissionRefusal::QueueFull);
+        }
+        self.waiting += 1;
+        self.wait_for(self.waiting, now)
+    }
+
+    /// Decides again about the first waiting request.
+    ///
+    /// The caller keeps the requests in order of arrival.
+    pub fn retry(&mut self, now: Instant) -> Admission {
+        self.advance(now);
+        if self.bucket.try_take(now) {
+            self.waiting = self.waiting.saturating_sub(1);
+            return Admission::Admitted;
+        }
+        self.wait_for(1, now)
+    }
+
+    /// Notes that a waiting request gave up.
+    pub fn abandon(&mut self, now: Instant) {
+        self.advance(now);
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Plans an ask if demand exceeds the capacity and no ask was made just before.
+    ///
+    /// The lease of every loan that answers it counts from `now`, so the ask
+    /// must be sent at once.
+    pub fn ask(&mut self, now: Instant) -> Option<Ask> {
+        self.advance(now);
+        if let Some(asked_at) = self.asked_at
+            && now < asked_at + self.cfg.ask_interval
+        {
+            return None;
+        }
+        let part = self.bucket.part();
+        let tokens = (f64::from(self.waiting) - self.bucket.tokens()).max(0.0);
+        let demand = self.arrivals.per_second(now) * self.cfg.demand_headroom;
+        let rate = (demand - part.rate()).max(0.0);
+        // While the bucket is more than half full, a burst is not yet demand.
+        let draining = rate > 0.0 && self.bucket.tokens() < part.burst() / 2.0;
+        if tokens <= 0.0 && !draining {
+            return None;
+        }
+        // A bucket needs a burst of one token to admit anything, and the
+        // arrivals of an ask interval to ride out the time until the next ask.
+        let floor = (demand * self.cfg.ask_interval.as_secs_f64()).max(1.0) - part.burst();
+        let burst = tokens.max(floor).max(0.0);
+        let id = AskId {
+            borrower: self.vm.clone(),
+            incarnation: self.incarnation,
+            number: self.next_ask,
+        };
+        self.next_ask += 1;
+        self.asked_at = Some(now);
+        self.asks.insert(
+            id.number,
+            OpenAsk {
+                sent_at: now,
+                credited: BTreeSet::new(),
+            },
+        );
+        Some(Ask {
+            id,
+            part: Part::new(rate, burst).unwrap_or_default(),
+            tokens,
+        })
+    }
+
+    /// Lends what the ask wants, as far as own demand leaves it free.
+    ///
+    /// Only the own base is lent, never a loan: a chain of loans would outlive
+    /// the first lender's lease.
+    pub fn lend(&mut self, now: Instant, ask: &Ask) -> Lend {
+        self.advance(now);
+        if ask.id.borrower == self.vm || !holds(ask.part, ask.tokens) {
+            return Lend::Declined(LendRefusal::Malformed);
+        }
+        if self.loans_out.values().any(|loan| loan.ask == ask.id) {
+            return Lend::Declined(LendRefusal::AlreadyLent);
+        }
+        let free = match self.free(now) {
+            Ok(free) => free,
+            Err(refusal) => return Lend::Declined(refusal),
+        };
+        let part = ask.part.min(free.part);
+        if part.is_zero() {
+            return Lend::Declined(LendRefusal::OwnDemand);
+        }
+        let wanted = ask.tokens.min(free.tokens).min(part.burst());
+        let tokens = self.bucket.withdraw(wanted, now);
+        let loan = LoanId {
+            lender: self.vm.clone(),
+            incarnation: self.incarnation,
+            number: self.next_loan,
+        };
+        self.next_loan += 1;
+        self.loans_out.insert(
+            loan.clone(),
+            LoanOut {
+                ask: ask.id.clone(),
+                part,
+                reclaim_at: now + self.cfg.loan_lease + self.cfg.margin,
+            },
+        );
+        self.refit(now);
+        Lend::Parcel(Parcel {
+            loan,
+            ask: ask.id.clone(),
+            part,
+            tokens,
+        })
+    }
+
+    /// Credits a parcel, once per loan, until a lease after its ask was sent.
+    pub fn credit(&mut self, now: Instant, parcel: &Parcel) -> Credit {
+        self.advance(now);
+        if !holds(parcel.part, parcel.tokens) {
+            return Credit::Malformed;
+        }
+        if parcel.ask.borrower != self.vm || parcel.ask.incarnation != self.incarnation {
+            return Credit::Late;
+        }
+        let Some(ask) = self.asks.get_mut(&parcel.ask.number) else {
+            return Credit::Late;
+        };
+        if !ask.credited.insert(parcel.loan.clone()) {
+            return Credit::Duplicate;
+        }
+        let until = ask.sent_at + self.cfg.loan_lease;
+        self.loans_in.insert(
+            parcel.loan.clone(),
+            LoanIn {
+                part: parcel.part,
+                expires_at: until,
+                renewal: None,
+                renewals: 0,
+            },
+        );
+        self.bucket.add_part(parcel.part, parcel.tokens, now);
+        self.refit(now);
+        Credit::Credited { until }
+    }
+
+    /// What to do about loans that are past half of their lease.
+    ///
+    /// Loans that demand needs are renewed and the others are given back. The
+    /// lease of a renewal counts from `now`, so it must be sent at once.
+    pub fn due(&mut self, now: Instant) -> Vec<LoanAction> {
+        self.advance(now);
+        let half = self.cfg.loan_lease / 2;
+        // A renewal whose answer was lost is repeated after a quarter of a lease.
+        let again = self.cfg.loan_lease / 4;
+        let due: Vec<LoanId> = self
+            .loans_in
+            .iter()
+            .filter(|(_, loan)| loan.expires_at <= now + half)
+            .filter(|(_, loan)| loan.renewal.is_none_or(|(_, at)| at + again <= now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut actions = Vec::with_capacity(due.len());
+        for id in due {
+            if self.needs(&id, now) {
+                actions.extend(self.renewal(&id, now).map(LoanAction::Renew));
+            } else {
+                actions.extend(self.give_back(now, &id).map(LoanAction::GiveBack));
+            }
+        }
+        actions
+    }
+
+    /// Answers a borrower's renewal.
+    pub fn renew(&mut self, now: Instant, renewal: &Renewal) -> Renewed {
+        self.advance(now);
+        let own_demand =
+            self.waiting > 0 || self.arrivals.per_second(now) > self.base_at_hand().rate();
+        let shrinking = self.base() != self.target;
+        if !self.base_usable || own_demand || shrinking {
+            return Renewed::Declined;
+        }
+        let Some(loan) = self.loans_out.get_mut(&renewal.loan) else {
+            return Renewed::Declined;
+        };
+        let reclaim_at = now + self.cfg.loan_lease + self.cfg.margin;
+        loan.reclaim_at = loan.reclaim_at.max(reclaim_at);
+        Renewed::Extended
+    }
+
+    /// Takes over a lender's answer to a renewal.
+    ///
+    /// An answer to an older renewal, or for a loan that has ended, changes nothing.
+    pub fn renewed(&mut self, now: Instant, renewal: &Renewal, answer: Renewed) {
+        self.advance(now);
+        if answer == Renewed::Declined {
+            return;
+        }
+        if let Some(loan) = self.loans_in.get_mut(&renewal.loan)
+            && let Some((number, sent_at)) = loan.renewal
+            && number == renewal.number
+        {
+            loan.expires_at = loan.expires_at.max(sent_at + self.cfg.loan_lease);
+            loan.renewal = None;
+        }
+    }
+
+    /// Ends a loan early. Its share of the tokens is debited before it is sent.
+    pub fn give_back(&mut self, now: Instant, loan: &LoanId) -> Option<Return> {
+        self.advance(now);
+        let ended = self.loans_in.remove(loan)?;
+        let whole = self.bucket.part().burst();
+        let fraction = if whole > 0.0 {
+            (ended.part.burst() / whole).min(1.0)
+        } else {
+            0.0
+        };
+        let wanted = (self.bucket.tokens() * fraction).min(ended.part.burst());
+        let tokens = self.bucket.withdraw(wanted, now);
+        self.refit(now);
+        Some(Return {
+            loan: loan.clone(),
+            tokens,
+        })
+    }
+
+    /// Ends all loans early, for a VM that is stopping.
+    pub fn give_back_all(&mut self, now: Instant) -> Vec<Return> {
+        let loans: Vec<LoanId> = self.loans_in.keys().cloned().collect();
+        loans
+            .iter()
+            .filter_map(|loan| self.give_back(now, loan))
+            .collect()
+    }
+
+    /// Takes back a loan that its borrower returned.
+    ///
+    /// Returns false, without effect, if the loan is unknown or was taken back before.
+    pub fn take_back(&mut self, now: Instant, returned: &Return) -> bool {
+        self.advance(now);
+        let Some(loan) = self.loans_out.get(&returned.loan) else {
+            return false;
+        };
+        if !holds(loan.part, returned.tokens) {
+            return false;
+        }
+        self.loans_out.remove(&returned.loan);
+        self.refit(now);
+        self.bucket.add_part(Part::ZERO, returned.tokens, now);
+        true
+    }
+
+    /// The next instant at which something expires by itself.
+    pub fn next_event_at(&self) -> Option<Instant> {
+        self.next_event().map(|(at, _)| at)
+    }
+
+    /// A plain copy of the state at `now`.
+    pub fn snapshot(&mut self, now: Instant) -> LedgerSnapshot {
+        self.advance(now);
+        LedgerSnapshot {
+            team: self.team.clone(),
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            table_version: self.table_version,
+            target: self.target,
+            base: self.base(),
+            base_usable: self.base_usable,
+            loans_out: self
+                .loans_out
+                .iter()
+                .map(|(id, l)| (id.clone(), l.ask.borrower.clone(), l.part, l.reclaim_at))
+                .collect(),
+            loans_in: self
+                .loans_in
+                .iter()
+                .map(|(id, l)| (id.clone(), l.part, l.expires_at))
+                .collect(),
+            part: self.bucket.part(),
+            tokens: self.bucket.tokens(),
+            waiting: self.waiting,
+            demand: self.arrivals.per_second(now),
+        }
+    }
+
+    /// Processes everything that expired by `now`, in order of time.
+    ///
+    /// The bucket fills at the old rate up to each expiry and at the new rate
+    /// after it.
+    fn advance(&mut self, now: Instant) {
+        while let Some((at, event)) = self.next_event()
+            && at <= now
+        {
+            self.bucket.refill(at);
+            match event {
+                Event::LoanExpires => self.loans_in.retain(|_, loan| loan.expires_at > at),
+                Event::LoanReclaimed => self.loans_out.retain(|_, loan| loan.reclaim_at > at),
+                Event::BaseOpens => self.base_usable = true,
+                Event::BaseLapses => {
+                    self.base_usable = false;
+                    self.base_until = None;
+                }
+            }
+            self.refit(at);
+        }
+        self.bucket.refill(now);
+        let lease = self.cfg.loan_lease;
+        self.asks.retain(|_, ask| ask.sent_at + lease > now);
+    }
+
+    fn next_event(&self) -> Option<(Instant, Event)> {
+        let expires = self
+            .loans_in
+            .values()
+            .map(|loan| (loan.expires_at, Event::LoanExpires));
+        let reclaimed = self
+            .loans_out
+            .values()
+            .map(|loan| (loan.reclaim_at, Event::LoanReclaimed));
+        let base = self.base_until.map(|until| {
+            if !self.base_usable && self.usable_from < until {
+                (self.usable_from, Event::BaseOpens)
+            } else {
+                (until, Event::BaseLapses)
+            }
+        });
+        expires.chain(reclaimed).chain(base).min_by_key(|e| e.0)
+    }
+
+    /// Fits the bucket's capacity to the base and the loans.
+    fn refit(&mut self, now: Instant) {
+        let base = if self.base_usable {
+            self.base_at_hand()
+        } else {
+            Part::ZERO
+        };
+        let part = self
+            .loans_in
+            .values()
+            .fold(base, |sum, loan| sum.plus(loan.part));
+        self.bucket.set_part(part, now);
+    }
+
+    fn lent(&self) -> Part {
+        self.loans_out
+            .values()
+            .fold(Part::ZERO, |sum, loan| sum.plus(loan.part))
+    }
+
+    /// The base that counts against this VM. What is lent cannot shrink.
+    fn base(&self) -> Part {
+        self.target.max(self.lent())
+    }
+
+    fn base_at_hand(&self) -> Part {
+        self.base().minus(self.lent())
+    }
+
+    fn wait_for(&mut self, position: u32, now: Instant) -> Admission {
+        Admission::Wait {
+            retry_at: self.bucket.time_until(position, now).map(|wait| now + wait),
+        }
+    }
+
+    fn free(&self, now: Instant) -> Result<Free, LendRefusal> {
+        if !self.base_usable {
+            return Err(LendRefusal::BaseUnusable);
+        }
+        if self.base() != self.target {
+            return Err(LendRefusal::Shrinking);
+        }
+        let at_hand = self.base_at_hand();
+        if self.waiting > 0 || !self.loans_in.is_empty() || at_hand.rate() <= 0.0 {
+            return Err(LendRefusal::OwnDemand);
+        }
+        let demand = self.arrivals.per_second(now) * self.cfg.demand_headroom;
+        let kept = demand.max(self.target.rate() * self.cfg.lend_reserve);
+        let fraction = 1.0 - kept / at_hand.rate();
+        if fraction <= 0.0 {
+            return Err(LendRefusal::OwnDemand);
+        }
+        Ok(Free {
+            part: at_hand.scaled(fraction),
+            tokens: self.bucket.tokens() * fraction,
+        })
+    }
+
+    /// Reports whether demand exceeds what would remain without the loan.
+    fn needs(&self, loan: &LoanId, now: Instant) -> bool {
+        let lent = self.loans_in.get(loan).map_or(Part::ZERO, |l| l.part);
+        let rest = self.bucket.part().minus(lent);
+        let demand = self.arrivals.per_second(now) * self.cfg.demand_headroom;
+        self.waiting > 0 || demand > rest.rate()
+    }
+
+    fn renewal(&mut self, id: &LoanId, now: Instant) -> Option<Renewal> {
+        let loan = self.loans_in.get_mut(id)?;
+        loan.renewals += 1;
+        loan.renewal = Some((loan.renewals, now));
+        Some(Renewal {
+            loan: id.clone(),
+            number: loan.renewals,
+        })
+    }
+}
+
+/// What a lender can spare.
+#[derive(Clone, Copy, Debug)]
+struct Free {
+    part: Part,
+    tokens: f64,
+}
+
+/// Arrivals per second, weighted exponentially by age.
+#[derive(Clone, Debug)]
+struct ArrivalRate {
+    window: Duration,
+    per_second: f64,
+    updated_at: Instant,
+}
+
+impl ArrivalRate {
+    fn new(window: Duration, now: Instant) -> Self {
+        Self {
+            window,
+            per_second: 0.0,
+            updated_at: now,
+        }
+    }
+
+    fn record(&mut self, now: Instant) {
+        self.per_second = self.per_second(now) + 1.0 / self.window.as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    fn per_second(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated_at);
+        self.per_second * (-age.as_secs_f64() / self.window.as_secs_f64()).exp()
+    }
+}
+
+/// Reports whether a part may hold that many tokens.
+fn holds(part: Part, tokens: f64) -> bool {
+    (0.0..=part.burst()).contains(&tokens)
+}
