Serve a request end to end with separate entry and agent processes

An operator applies a file, agents watch the platform and feed the entries, a caller looks up a VM and gets the whole answer from a backend server that never saw the key. The integration test runs this with real processes.

--- a/crates/filbertgrade-coord/src/freshness.rs
+++ b/crates/filbertgrade-coord/src/freshness.rs
@@ -156,7 +156,12 @@
         all.into_iter()
             .map(|(region, evidence)| RegionAges {
                 region,
-                confirmed: evidence.confirmed.map(|(at, rev)| (age(at), rev)),
+                // A confirmation above the held revision would not help the
+                // receiver, which has at most this revision after the reply.
+                confirmed: evidence
+                    .confirmed
+                    .filter(|&(_, revision)| revision <= held)
+                    .map(|(at, revision)| (age(at), revision)),
                 heard: evidence.heard.map(age),
                 revision: evidence.revision,
             })
@@ -198,6 +203,12 @@
         Freshness::StoreOutage { until }
     }
 
+    /// The instant of the newest confirmation by the store, from any region.
+    pub fn newest_confirmation(&self) -> Option<Instant> {
+        let confirmed = self.regions.values().filter_map(|e| e.confirmed);
+        confirmed.map(|(at, _)| at).max()
+    }
+
     /// Reports whether every one of `regions` is known to hold `revision`.
     pub fn all_hold(&self, revision: u64, regions: &BTreeSet<RegionName>) -> bool {
         regions.iter().all(|region| {
--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -1,2 +1,52 @@
-//! Binary.
-fn main() {}
+//! The one binary: daemons and operators' commands.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use filbertgrade::process::command::flags::{Filbertgrade, FilbertgradeCmd};
+use filbertgrade::process::{agent, command, entry};
+
+fn main() -> ExitCode {
+    init_logs();
+    let flags = Filbertgrade::from_env_or_exit();
+    match run(flags) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("filbertgrade: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: Filbertgrade) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(async {
+        match flags.subcommand {
+            FilbertgradeCmd::Entry(flags) => entry::run(flags.settings()?).await?,
+            FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
+            FilbertgradeCmd::Check(flags) => return Ok(command::check(&flags.file)?),
+            FilbertgradeCmd::Apply(flags) => command::apply(&flags.file, flags.store).await?,
+            FilbertgradeCmd::Key(flags) => command::key(flags).await?,
+        }
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+/// One line for each event: time, level, module, then `event=` and its fields.
+fn init_logs() {
+    use std::io::Write;
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|out, record| {
+            writeln!(
+                out,
+                "level={} target={} {}",
+                record.level().as_str().to_lowercase(),
+                record.target(),
+                record.args()
+            )
+        })
+        .init();
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -0,0 +1,95 @@
+//! Answers peer agents and the entry of the own VM.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::freshness::RegionAges;
+
+use super::{Agent, FEED_WAIT};
+use crate::version::delta_for;
+use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
+
+pub(crate) async fn answer(agent: Arc<Agent>, body: Body) -> Option<Body> {
+    match body {
+        Body::Hello(hello) => Some(Body::Feed(feed(&agent, &hello).await)),
+        Body::Report(report) => {
+            note_report(&agent, report);
+            None
+        }
+        Body::Pull(pull) => Some(Body::PullReply(pull_reply(&agent, &pull))),
+        Body::StatusRequest(_) => Some(Body::StatusReply(status(&agent))),
+        _ => None,
+    }
+}
+
+async fn feed(agent: &Agent, hello: &Hello) -> Feed {
+    let mut revision = agent.revision.subscribe();
+    let newer = revision.wait_for(|held| *held > hello.revision);
+    let _ = tokio::time::timeout(FEED_WAIT, newer).await;
+    let state = agent.state();
+    let valid = state.valid_for(Instant::now());
+    Feed {
+        delta: delta_for(&state.objects, hello.revision),
+        valid_ms: valid.as_millis().try_into().unwrap_or(u32::MAX),
+    }
+}
+
+fn note_report(agent: &Agent, report: Report) {
+    let mut last = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
+    *last = Some(report);
+}
+
+fn pull_reply(agent: &Agent, pull: &Pull) -> PullReply {
+    let state = agent.state();
+    let held = state.objects.revision();
+    PullReply {
+        delta: delta_for(&state.objects, pull.revision),
+        regions: state
+            .freshness
+            .ages(Instant::now(), held)
+            .into_iter()
+            .map(RegionEvidence::from)
+            .collect(),
+        revision: held,
+    }
+}
+
+fn status(agent: &Agent) -> StatusReply {
+    let report = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
+    StatusReply {
+        vm: agent.settings.vm.to_string(),
+        agent_revision: *agent.revision.borrow(),
+        entry: report.clone(),
+    }
+}
+
+impl From<RegionAges> for RegionEvidence {
+    fn from(ages: RegionAges) -> Self {
+        let millis = |age: Duration| age.as_millis().try_into().unwrap_or(u32::MAX);
+        Self {
+            region: ages.region.to_string(),
+            confirmed_age_ms: ages.confirmed.map(|(age, _)| millis(age)),
+            heard_age_ms: ages.heard.map(millis),
+            revision: ages.revision,
+            confirmed_revision: ages.confirmed.map_or(0, |(_, revision)| revision),
+        }
+    }
+}
+
+impl TryFrom<RegionEvidence> for RegionAges {
+    type Error = filbertgrade_coord::names::NameError;
+
+    fn try_from(evidence: RegionEvidence) -> Result<Self, Self::Error> {
+        // Ages are rounded down to whole milliseconds on the wire, so one is
+        // added: evidence must never look younger than it is.
+        let age = |ms: u32| Duration::from_millis(u64::from(ms) + 1);
+        Ok(Self {
+            region: evidence.region.as_str().try_into()?,
+            confirmed: evidence
+                .confirmed_age_ms
+                .map(|ms| (age(ms), evidence.confirmed_revision)),
+            heard: evidence.heard_age_ms.map(age),
+            revision: evidence.revision,
+        })
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -0,0 +1,93 @@
+//! Pulls newer state from peer agents.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::dissemination::pull_peers;
+use filbertgrade_coord::freshness::RegionAges;
+use filbertgrade_coord::names::VmName;
+
+use super::Agent;
+use crate::connection::PeerLink;
+use crate::version::{VmRecord, apply_delta};
+use crate::wire::{Body, Pull, PullReply};
+
+/// Time between two rounds.
+const PULL_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time for one answer; a peer in another region answers within about 110 ms.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pulls from up to three peers in every round.
+pub(crate) async fn pull_from_peers(agent: Arc<Agent>) {
+    let seed = rand::random();
+    let mut links: HashMap<VmName, (VmRecord, PeerLink)> = HashMap::new();
+    let mut ticks = tokio::time::interval(PULL_PERIOD);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for round in 0.. {
+        ticks.tick().await;
+        let peers = {
+            let state = agent.state();
+            let names = pull_peers(&agent.me(), &state.members(), round, seed);
+            links.retain(|name, _| state.vms.iter().any(|vm| vm.name == *name));
+            state
+                .vms
+                .iter()
+                .filter(|vm| names.contains(&vm.name))
+                .cloned()
+                .collect::<Vec<_>>()
+        };
+        for peer in peers {
+            let link = link_to(&agent, &mut links, &peer);
+            tokio::spawn(pull_once(Arc::clone(&agent), link, peer));
+        }
+    }
+}
+
+fn link_to(
+    agent: &Agent,
+    links: &mut HashMap<VmName, (VmRecord, PeerLink)>,
+    peer: &VmRecord,
+) -> PeerLink {
+    if let Some((known, link)) = links.get(&peer.name)
+        && known.address == peer.address
+    {
+        return link.clone();
+    }
+    let address = SocketAddr::new(peer.address, agent.settings.ports.agent_peer);
+    let link = PeerLink::new(address, Some(agent.settings.address));
+    links.insert(peer.name.clone(), (peer.clone(), link.clone()));
+    link
+}
+
+async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord) {
+    let sent = Instant::now();
+    let pull = Pull {
+        vm: agent.settings.vm.to_string(),
+        revision: *agent.revision.borrow(),
+    };
+    match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
+        Ok(Body::PullReply(reply)) => take_reply(&agent, reply, &peer, sent),
+        Ok(_) => log::warn!("event=pull_misanswered peer={}", peer.name),
+        Err(error) => log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name),
+    }
+}
+
+fn take_reply(agent: &Agent, reply: PullReply, peer: &VmRecord, sent: Instant) {
+    if let Some(delta) = reply.delta
+        && let Err(error) = agent.advance(|objects| apply_delta(objects, delta))
+    {
+        log::warn!("event=pull_rejected peer={} error=\"{error}\"", peer.name);
+        return;
+    }
+    let ages: Vec<RegionAges> = reply
+        .regions
+        .into_iter()
+        .filter_map(|evidence| evidence.try_into().ok())
+        .collect();
+    let mut state = agent.state();
+    state.freshness.hear(sent, &peer.region, reply.revision);
+    state.freshness.absorb(sent, &ages);
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/agent/store.rs
@@ -0,0 +1,129 @@
+//! Follows the platform's objects.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::dissemination::{POLL_AFTER, StorePoll, is_relay, store_poll};
+use filbertgrade_coord::versioned::Applied;
+
+use super::Agent;
+use crate::platform::{Changes, PlatformError, Revision, WATCHED_PREFIXES};
+
+/// Wait of one watch. Its end confirms the revision, so it must be well under
+/// the freshness bound.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed call of a relay.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How often a non-relay looks whether it must poll.
+const POLL_CHECK: Duration = Duration::from_millis(100);
+
+/// Watches the store while this agent is a relay; polls it when the relays
+/// bring nothing.
+pub(crate) async fn follow_store(agent: Arc<Agent>) {
+    let mut polled: Option<(Instant, u32)> = None;
+    let started = Instant::now();
+    loop {
+        match next_step(&agent, started, polled) {
+            Step::Watch => {
+                polled = None;
+                if let Err(error) = watch_once(&agent, WATCH_WAIT).await {
+                    log::warn!("event=watch_failed error=\"{error}\"");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+            Step::Poll => {
+                let polls = polled.map_or(0, |(_, polls)| polls) + 1;
+                polled = Some((Instant::now(), polls));
+                if let Err(error) = watch_once(&agent, Duration::ZERO).await {
+                    log::warn!("event=poll_failed error=\"{error}\"");
+                }
+            }
+            Step::Rest { confirmed } => {
+                if confirmed {
+                    polled = None;
+                }
+                tokio::time::sleep(POLL_CHECK).await;
+            }
+        }
+    }
+}
+
+enum Step {
+    Watch,
+    Poll,
+    Rest { confirmed: bool },
+}
+
+fn next_step(agent: &Agent, started: Instant, polled: Option<(Instant, u32)>) -> Step {
+    let now = Instant::now();
+    let state = agent.state();
+    let members = state.members();
+    if members.is_empty() || is_relay(&agent.me(), &members) {
+        return Step::Watch;
+    }
+    let confirmed_at = state.freshness.newest_confirmation().unwrap_or(started);
+    let confirmed = now.saturating_duration_since(confirmed_at) < POLL_AFTER;
+    let seed = xxhash_rust::xxh3::xxh3_64(agent.settings.vm.as_str().as_bytes());
+    match store_poll(confirmed_at, polled.filter(|_| !confirmed), seed, now) {
+        StorePoll::Now => Step::Poll,
+        StorePoll::At(_) => Step::Rest { confirmed },
+    }
+}
+
+async fn watch_once(agent: &Agent, wait: Duration) -> Result<(), PlatformError> {
+    let sent = Instant::now();
+    let held = *agent.revision.borrow();
+    if held == 0 {
+        let listed = agent.platform.list(&WATCHED_PREFIXES).await?;
+        take_list(agent, listed, sent);
+        return Ok(());
+    }
+    match agent.platform.watch(&WATCHED_PREFIXES, held, wait).await {
+        Ok(changes) => {
+            let revision = changes.revision;
+            take_changes(agent, changes, held);
+            // The confirmation counts from the start of the call, which is
+            // never later than the store's word.
+            confirm_at(agent, sent, revision);
+            Ok(())
+        }
+        Err(error) if error.is_history_gone() => {
+            let listed = agent.platform.list(&WATCHED_PREFIXES).await?;
+            take_list(agent, listed, sent);
+            Ok(())
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn take_list(agent: &Agent, listed: Changes, sent: Instant) {
+    let revision = listed.revision;
+    match agent.advance(|objects| objects.apply_snapshot(listed.into_snapshot())) {
+        Ok(_) => confirm_at(agent, sent, revision),
+        Err(error) => log::warn!("event=list_rejected error=\"{error}\""),
+    }
+}
+
+fn take_changes(agent: &Agent, changes: Changes, held: Revision) {
+    match agent.advance(|objects| objects.apply_delta(changes.into_delta(held))) {
+        Ok(Applied::Advanced(names)) if !names.is_empty() => {
+            log::info!(
+                "event=store_changed revision={} objects={}",
+                *agent.revision.borrow(),
+                names.len()
+            );
+        }
+        Ok(_) => {}
+        Err(error) => log::warn!("event=changes_rejected error=\"{error}\""),
+    }
+}
+
+fn confirm_at(agent: &Agent, sent: Instant, revision: Revision) {
+    let mut state = agent.state();
+    // A replica that is behind what this agent holds confirms nothing.
+    if revision >= state.objects.revision() {
+        state.freshness.confirm(sent, revision);
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -0,0 +1,122 @@
+//! The command line.
+
+#![expect(
+    missing_docs,
+    reason = "the macro emits the public fields without room for their docs"
+)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use crate::process::settings::{NodeFlags, NodeSettings, SettingsError};
+
+xflags::xflags! {
+    /// Global traffic steering.
+    cmd filbertgrade {
+        /// Answers look-ups and carries requests; one for each VM.
+        cmd entry {
+            /// Name of the VM.
+            optional --vm vm: String
+            /// IP address of the VM.
+            optional --address address: String
+            /// Region of the VM.
+            optional --region region: String
+            /// Failure domain of the VM.
+            optional --failure-domain failure_domain: String
+            /// Address of the platform's object API.
+            optional --store store: String
+            /// Port for callers.
+            optional --caller-port port: String
+            /// Port for links between entries.
+            optional --entry-peer-port port: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
+            /// Port for operators at the entry.
+            optional --entry-operator-port port: String
+            /// Port for operators at the agent.
+            optional --agent-operator-port port: String
+        }
+        /// Watches the platform and feeds the entry; one for each VM.
+        cmd agent {
+            /// Name of the VM.
+            optional --vm vm: String
+            /// IP address of the VM.
+            optional --address address: String
+            /// Region of the VM.
+            optional --region region: String
+            /// Failure domain of the VM.
+            optional --failure-domain failure_domain: String
+            /// Address of the platform's object API.
+            optional --store store: String
+            /// Port for callers.
+            optional --caller-port port: String
+            /// Port for links between entries.
+            optional --entry-peer-port port: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
+            /// Port for operators at the entry.
+            optional --entry-operator-port port: String
+            /// Port for operators at the agent.
+            optional --agent-operator-port port: String
+        }
+        /// Validates a configuration file.
+        cmd check {
+            /// Configuration file.
+            required file: PathBuf
+        }
+        /// Puts a configuration file in force as a whole.
+        cmd apply {
+            /// Configuration file.
+            required file: PathBuf
+            /// Address of the platform's object API.
+            required --store store: SocketAddr
+        }
+        /// Grants, withdraws and lists keys.
+        cmd key {
+            /// Address of the platform's object API.
+            required --store store: SocketAddr
+            /// Grants a key to a team and shows its secret once.
+            cmd create {
+                /// Team name.
+                required team: String
+            }
+            /// Withdraws a key.
+            cmd withdraw {
+                /// Id of the key: the part between the first two underscores.
+                required id: String
+            }
+            /// Lists keys.
+            cmd list {}
+        }
+    }
+}
+
+macro_rules! node_settings {
+    ($flags:ident) => {
+        impl $flags {
+            /// The settings that these flags and the environment give.
+            ///
+            /// # Errors
+            ///
+            /// Lists every missing or malformed setting.
+            pub fn settings(self) -> Result<NodeSettings, SettingsError> {
+                let flags = NodeFlags {
+                    vm: self.vm,
+                    address: self.address,
+                    region: self.region,
+                    failure_domain: self.failure_domain,
+                    store: self.store,
+                    caller_port: self.caller_port,
+                    entry_peer_port: self.entry_peer_port,
+                    agent_peer_port: self.agent_peer_port,
+                    entry_operator_port: self.entry_operator_port,
+                    agent_operator_port: self.agent_operator_port,
+                };
+                NodeSettings::resolve(flags, |name| std::env::var(name).ok())
+            }
+        }
+    };
+}
+
+node_settings!(Entry);
+node_settings!(Agent);
--- /dev/null
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -0,0 +1,83 @@
+//! Follows the agent of the own VM and keeps the state in force.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertgrade_coord::versioned::{Applied, VersionedMap};
+
+use super::Entry;
+use crate::connection::PeerLink;
+use crate::version::InForce;
+use crate::wire::{Body, Feed, Hello, Report};
+
+/// Time for one answer of the agent, which answers at once or when its state
+/// changes, at the latest after [`crate::process::agent::FEED_WAIT`].
+const FEED_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after a failed call, so that an absent agent costs little.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Asks the agent for state again and again.
+pub(crate) async fn follow_agent(entry: Arc<Entry>) {
+    let settings = &entry.settings;
+    let address = SocketAddr::new(settings.address, settings.ports.agent_peer);
+    let link = PeerLink::new(address, Some(settings.address));
+    let mut objects = VersionedMap::new(0);
+    loop {
+        let sent = Instant::now();
+        let hello = Hello {
+            revision: objects.revision(),
+        };
+        match link.call(Body::Hello(hello), FEED_TIMEOUT).await {
+            Ok(Body::Feed(feed)) => {
+                take_feed(&entry, &mut objects, feed, sent);
+                let _ = link.notify(Body::Report(report(&entry))).await;
+            }
+            Ok(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            Err(error) => {
+                log::warn!("event=feed_failed error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_feed(entry: &Entry, objects: &mut VersionedMap<Bytes>, feed: Feed, sent: Instant) {
+    if let Some(delta) = feed.delta {
+        match crate::version::apply_delta(objects, delta) {
+            Ok(Applied::Advanced(names)) => put_in_force(entry, objects, &names),
+            Ok(Applied::Stale | Applied::Gap { .. }) => {}
+            Err(error) => log::warn!("event=feed_rejected error=\"{error}\""),
+        }
+    }
+    let until = sent + Duration::from_millis(feed.valid_ms.into());
+    entry
+        .valid_until
+        .store(Arc::new((feed.valid_ms > 0).then_some(until)));
+}
+
+/// A revision without changed objects needs no new view besides its number.
+fn put_in_force(entry: &Entry, objects: &VersionedMap<Bytes>, names: &[Arc<str>]) {
+    let previous = entry.in_force.load();
+    let view = if names.is_empty() {
+        previous.at_revision(objects.revision())
+    } else {
+        let view = InForce::build(objects, &previous);
+        log::info!(
+            "event=in_force revision={} config_version={}",
+            view.revision,
+            view.config_version
+        );
+        view
+    };
+    entry.in_force.store(Arc::new(view));
+}
+
+fn report(entry: &Entry) -> Report {
+    Report {
+        revision: entry.in_force.load().revision,
+        share_table_revision: 0,
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -0,0 +1,6 @@
+//! What lives for a process: settings, the daemons and the operators' commands.
+
+pub mod agent;
+pub mod command;
+pub mod entry;
+pub mod settings;
--- /dev/null
+++ b/crates/filbertgrade/src/process/settings.rs
@@ -0,0 +1,227 @@
+//! Settings of the daemons, from flags and environment variables.
+
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+
+use filbertgrade_coord::names::{FailureDomainName, RegionName, VmName};
+
+/// Settings that the entry and the agent of a VM share.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// IP address of the VM; also the source address of its connections.
+    pub address: IpAddr,
+    /// Region of the VM.
+    pub region: RegionName,
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomainName,
+    /// Address of the platform's object API.
+    pub store: SocketAddr,
+    /// Ports, the same on every VM.
+    pub ports: Ports,
+}
+
+/// Ports of the processes of a VM, the same on every VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ports {
+    /// Callers' look-ups and requests, at the entry. Default 7080.
+    pub caller: u16,
+    /// Links between entries. Default 7081.
+    pub entry_peer: u16,
+    /// Links between agents, and from the entry to its agent. Default 7082.
+    pub agent_peer: u16,
+    /// Operators' requests at the entry. Default 7083.
+    pub entry_operator: u16,
+    /// Operators' requests at the agent. Default 7084.
+    pub agent_operator: u16,
+}
+
+impl Default for Ports {
+    fn default() -> Self {
+        Self {
+            caller: 7080,
+            entry_peer: 7081,
+            agent_peer: 7082,
+            entry_operator: 7083,
+            agent_operator: 7084,
+        }
+    }
+}
+
+/// Settings as text, before they are checked. `None` means that the flag was
+/// not given.
+#[derive(Clone, Debug, Default)]
+pub struct NodeFlags {
+    /// `--vm`
+    pub vm: Option<String>,
+    /// `--address`
+    pub address: Option<String>,
+    /// `--region`
+    pub region: Option<String>,
+    /// `--failure-domain`
+    pub failure_domain: Option<String>,
+    /// `--store`
+    pub store: Option<String>,
+    /// `--caller-port`
+    pub caller_port: Option<String>,
+    /// `--entry-peer-port`
+    pub entry_peer_port: Option<String>,
+    /// `--agent-peer-port`
+    pub agent_peer_port: Option<String>,
+    /// `--entry-operator-port`
+    pub entry_operator_port: Option<String>,
+    /// `--agent-operator-port`
+    pub agent_operator_port: Option<String>,
+}
+
+/// All faults of a process's settings.
+#[derive(Debug)]
+pub struct SettingsError {
+    faults: Vec<String>,
+}
+
+impl SettingsError {
+    /// One line for each fault.
+    #[must_use]
+    pub fn faults(&self) -> &[String] {
+        &self.faults
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} faulty settings: ", self.faults.len())?;
+        f.write_str(&self.faults.join("; "))
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl NodeSettings {
+    /// Checks flags, and the environment variable of the same name for each
+    /// flag that was not given (`--caller-port` is `FILBERTGRADE_CALLER_PORT`).
+    ///
+    /// # Errors
+    ///
+    /// Lists every missing or malformed setting.
+    pub fn resolve(
+        flags: NodeFlags,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let mut reader = Reader {
+            env,
+            faults: Vec::new(),
+        };
+        let ports = Ports::default();
+        let vm = reader.name::<VmName>("vm", flags.vm);
+        let address = reader.required("address", flags.address);
+        let region = reader.name::<RegionName>("region", flags.region);
+        let failure_domain =
+            reader.name::<FailureDomainName>("failure-domain", flags.failure_domain);
+        let store = reader.required("store", flags.store);
+        let ports = Ports {
+            caller: reader.optional("caller-port", flags.caller_port, ports.caller),
+            entry_peer: reader.optional("entry-peer-port", flags.entry_peer_port, ports.entry_peer),
+            agent_peer: reader.optional("agent-peer-port", flags.agent_peer_port, ports.agent_peer),
+            entry_operator: reader.optional(
+                "entry-operator-port",
+                flags.entry_operator_port,
+                ports.entry_operator,
+            ),
+            agent_operator: reader.optional(
+                "agent-operator-port",
+                flags.agent_operator_port,
+                ports.agent_operator,
+            ),
+        };
+        match (vm, address, region, failure_domain, store) {
+            (Some(vm), Some(address), Some(region), Some(failure_domain), Some(store))
+                if reader.faults.is_empty() =>
+            {
+                Ok(Self {
+                    vm,
+                    address,
+                    region,
+                    failure_domain,
+                    store,
+                    ports,
+                })
+            }
+            _ => Err(SettingsError {
+                faults: reader.faults,
+            }),
+        }
+    }
+}
+
+struct Reader<E> {
+    env: E,
+    faults: Vec<String>,
+}
+
+impl<E: Fn(&str) -> Option<String>> Reader<E> {
+    fn text(&self, flag: &str, given: Option<String>) -> Option<String> {
+        given.or_else(|| (self.env)(&variable(flag)))
+    }
+
+    fn required<T: FromStr>(&mut self, flag: &str, given: Option<String>) -> Option<T>
+    where
+        T::Err: fmt::Display,
+    {
+        let text = self.present(flag, given)?;
+        self.parsed(flag, &text)
+    }
+
+    fn optional<T: FromStr>(&mut self, flag: &str, given: Option<String>, default: T) -> T
+    where
+        T::Err: fmt::Display,
+    {
+        match self.text(flag, given) {
+            Some(text) => self.parsed(flag, &text).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    fn name<T>(&mut self, flag: &str, given: Option<String>) -> Option<T>
+    where
+        T: for<'a> TryFrom<&'a str, Error = filbertgrade_coord::names::NameError>,
+    {
+        let text = self.present(flag, given)?;
+        match T::try_from(text.as_str()) {
+            Ok(name) => Some(name),
+            Err(e) => {
+                self.faults.push(format!("--{flag}: {e}"));
+                None
+            }
+        }
+    }
+
+    fn present(&mut self, flag: &str, given: Option<String>) -> Option<String> {
+        let text = self.text(flag, given);
+        if text.is_none() {
+            let variable = variable(flag);
+            self.faults
+                .push(format!("--{flag} or {variable} is required"));
+        }
+        text
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &str, text: &str) -> Option<T>
+    where
+        T::Err: fmt::Display,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.faults.push(format!("--{flag}: {text:?}: {e}"));
+                None
+            }
+        }
+    }
+}
+
+fn variable(flag: &str) -> String {
+    format!("FILBERTGRADE_{}", flag.to_uppercase().replace('-', "_"))
+}
--- /dev/null
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -0,0 +1,137 @@
+//! The view of the platform's objects that is in force in one process.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use filbertgrade_coord::names::{RegionName, VmName};
+use filbertgrade_coord::versioned::VersionedMap;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Config, KeyRecord, KeyTable, VmRecord};
+use crate::platform::Revision;
+
+/// Name of the object that makes a configuration visible.
+pub const CONFIG_ROOT: &str = "config/root";
+
+/// The root of a configuration: the parts that make up its text.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ConfigRoot {
+    /// Counts accepted configurations, from 1.
+    pub version: u64,
+    /// Id of the run of `apply` that wrote this root.
+    pub apply_id: String,
+    /// SHA-256 digests of the parts, in order.
+    pub parts: Vec<String>,
+}
+
+/// Everything that requests are decided on, as of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    /// Revision of the objects that this view was built from.
+    pub revision: Revision,
+    /// Version of the configuration in force; 0 before the first one.
+    pub config_version: u64,
+    /// The configuration, once one was accepted.
+    pub config: Option<Arc<Config>>,
+    /// Keys.
+    pub keys: KeyTable,
+    /// VMs of the platform's list.
+    pub vms: IndexMap<VmName, VmRecord>,
+    /// Backend servers that get no new work.
+    pub drained_servers: HashSet<SocketAddr>,
+    /// VMs that operators drain.
+    pub drained_vms: HashSet<String>,
+    /// Regions that operators drain.
+    pub drained_regions: HashSet<String>,
+}
+
+impl InForce {
+    /// Builds the view from the objects of the platform.
+    ///
+    /// A configuration that is incomplete or malformed leaves `previous` in
+    /// force, so that a fault in one object cannot take a service down.
+    #[must_use]
+    pub fn build(objects: &VersionedMap<Bytes>, previous: &Self) -> Self {
+        let mut view = Self {
+            revision: objects.revision(),
+            config_version: previous.config_version,
+            config: previous.config.clone(),
+            ..Self::default()
+        };
+        for (name, entry) in objects.iter() {
+            view.add(name, &entry.value);
+        }
+        if let Some((version, config)) = newer_config(objects, previous.config_version) {
+            view.config_version = version;
+            view.config = Some(Arc::new(config));
+        }
+        view
+    }
+
+    /// The same view as of a later revision that changed no object.
+    #[must_use]
+    pub(crate) fn at_revision(&self, revision: Revision) -> Self {
+        Self {
+            revision,
+            ..self.clone()
+        }
+    }
+
+    fn add(&mut self, name: &str, value: &Bytes) {
+        if let Some(id) = name.strip_prefix("keys/") {
+            if let Ok(record) = serde_json::from_slice::<KeyRecord>(value) {
+                self.keys.insert(id, &record);
+            }
+        } else if name.starts_with("vms/") {
+            if let Some(vm) = VmRecord::decode(value) {
+                self.vms.insert(vm.name.clone(), vm);
+            }
+        } else if let Some(address) = name.strip_prefix("drains/server/") {
+            if let Ok(address) = address.parse() {
+                self.drained_servers.insert(address);
+            }
+        } else if let Some(vm) = name.strip_prefix("drains/vm/") {
+            self.drained_vms.insert(vm.to_owned());
+        } else if let Some(region) = name.strip_prefix("drains/region/") {
+            self.drained_regions.insert(region.to_owned());
+        }
+    }
+
+    /// Regions in order of preference for a client in `region`.
+    #[must_use]
+    pub fn region_order(&self, region: Option<&RegionName>) -> Vec<RegionName> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let mut regions: Vec<RegionName> = config.regions.keys().cloned().collect();
+        regions.sort_by_key(|name| Some(name) != region);
+        regions
+    }
+}
+
+/// The configuration of the root object, if it is newer than `version`,
+/// complete and well-formed.
+fn newer_config(objects: &VersionedMap<Bytes>, version: u64) -> Option<(u64, Config)> {
+    let root: ConfigRoot = serde_json::from_slice(&objects.get(CONFIG_ROOT)?.value).ok()?;
+    if root.version <= version {
+        return None;
+    }
+    let mut text = String::new();
+    for part in &root.parts {
+        let entry = objects.get(&format!("config/part/{part}"))?;
+        text.push_str(std::str::from_utf8(&entry.value).ok()?);
+    }
+    match Config::parse(&text) {
+        Ok(config) => Some((root.version, config)),
+        Err(error) => {
+            log::error!(
+                "event=config_malformed version={} error=\"{error}\"",
+                root.version
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -0,0 +1,16 @@
+//! What lives for a version of the state: configuration, keys, drains, the VM
+//! list, and the view of all of them that is in force.
+
+mod config;
+mod delta;
+mod fleet;
+mod in_force;
+mod keys;
+mod names;
+
+pub use config::{Access, Config, ConfigError, Network, RegionConfig, ServiceConfig, TeamConfig};
+pub(crate) use delta::{apply_delta, delta_for};
+pub use fleet::{VmRecord, VmState};
+pub use in_force::{CONFIG_ROOT, ConfigRoot, InForce};
+pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
+pub use names::ServiceName;
--- /dev/null
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -0,0 +1,336 @@
+//! Messages between the system's own processes.
+//!
+//! Each message is a prost structure of its own. Domain types are made from
+//! them with `TryFrom`, which checks every field.
+
+/// One frame on a link: a request, its reply or a one-way message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Number that the requesting side chose; a reply repeats it. 0 marks a
+    /// one-way message.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// The content.
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
+    pub body: Option<Body>,
+}
+
+/// Content of a [`Frame`].
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Entry to its agent: asks for the feed.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// Agent to its entry.
+    #[prost(message, tag = "3")]
+    Feed(Feed),
+    /// Entry to its agent.
+    #[prost(message, tag = "4")]
+    Report(Report),
+    /// Agent to agent: asks for newer state.
+    #[prost(message, tag = "5")]
+    Pull(Pull),
+    /// Answer to [`Pull`].
+    #[prost(message, tag = "6")]
+    PullReply(PullReply),
+    /// Asks an agent what it and its entry hold.
+    #[prost(message, tag = "7")]
+    StatusRequest(StatusRequest),
+    /// Answer to [`StatusRequest`].
+    #[prost(message, tag = "8")]
+    StatusReply(StatusReply),
+    /// Entry to entry: asks for a loan of rate and burst.
+    #[prost(message, tag = "9")]
+    Borrow(Borrow),
+    /// Answer to [`Borrow`]; all parts are zero when nothing is lent.
+    #[prost(message, tag = "10")]
+    Loan(Loan),
+    /// Entry to entry: gives a loan back before its lease ends.
+    #[prost(message, tag = "11")]
+    Return(Return),
+    /// Entry to entry: asks a slot book for a slot, or renews a permit.
+    #[prost(message, tag = "12")]
+    Acquire(Acquire),
+    /// Answer to [`Acquire`].
+    #[prost(message, tag = "13")]
+    Permit(Permit),
+    /// Answer to [`Acquire`].
+    #[prost(message, tag = "14")]
+    Denied(Denied),
+    /// Entry to entry: frees or renews a permit.
+    #[prost(message, tag = "15")]
+    Release(Release),
+}
+
+/// Asks an agent for the feed of its VM.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Revision that the entry already holds.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+}
+
+/// One object of the platform as it is passed on; no value marks a removal.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Object {
+    /// Name in the platform's object API.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Revision of the last change to this object.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Content.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub value: Option<bytes::Bytes>,
+}
+
+/// A change of state from one revision to a later one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Delta {
+    /// Revision that the receiver must hold, unless this is a snapshot.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Revision after the change.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// Changed objects, or all objects in a full snapshot.
+    #[prost(message, repeated, tag = "3")]
+    pub objects: Vec<Object>,
+    /// The objects are all that exist at `to`, so others are removed.
+    #[prost(bool, tag = "4")]
+    pub snapshot: bool,
+}
+
+/// State from the agent to the entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Feed {
+    /// Change since the last feed, if there is one.
+    #[prost(message, optional, tag = "1")]
+    pub delta: Option<Delta>,
+    /// How much longer the state may be relied on, in milliseconds from
+    /// sending; 0 when the VM is isolated.
+    #[prost(uint32, tag = "2")]
+    pub valid_ms: u32,
+}
+
+/// State from the entry to its agent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    /// Revision in force in the entry.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Revision of the share table that is fully in effect in every ledger.
+    #[prost(uint64, tag = "2")]
+    pub share_table_revision: u64,
+}
+
+/// Asks a peer agent for newer state.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pull {
+    /// Name of the asking VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Revision that the asking agent holds.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
+/// Newest evidence from one region. Ages count back from sending.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RegionEvidence {
+    /// Region name.
+    #[prost(string, tag = "1")]
+    pub region: String,
+    /// Age of the newest confirmation by the store, in milliseconds.
+    #[prost(uint32, optional, tag = "2")]
+    pub confirmed_age_ms: Option<u32>,
+    /// Age of the newest word from any agent of the region, in milliseconds.
+    #[prost(uint32, optional, tag = "3")]
+    pub heard_age_ms: Option<u32>,
+    /// Newest revision known in the region.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    /// Revision that the store confirmed.
+    #[prost(uint64, tag = "5")]
+    pub confirmed_revision: u64,
+}
+
+/// Answer to [`Pull`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PullReply {
+    /// Change since the revision of the request, if there is one.
+    #[prost(message, optional, tag = "1")]
+    pub delta: Option<Delta>,
+    /// Evidence held by the answering agent.
+    #[prost(message, repeated, tag = "2")]
+    pub regions: Vec<RegionEvidence>,
+    /// Revision that the answering agent holds.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
+
+/// Asks an agent for its status.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StatusRequest {}
+
+/// Status of one VM.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StatusReply {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Revision that the agent holds.
+    #[prost(uint64, tag = "2")]
+    pub agent_revision: u64,
+    /// Last report of the entry, if it is connected.
+    #[prost(message, optional, tag = "3")]
+    pub entry: Option<Report>,
+}
+
+/// Asks for a loan of a team's rate and burst.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Borrow {
+    /// Loan id, unique to the borrower.
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    /// Name of the borrowing VM.
+    #[prost(string, tag = "2")]
+    pub vm: String,
+    /// Team name.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// Wanted rate, in requests per second.
+    #[prost(double, tag = "4")]
+    pub rate: f64,
+    /// Wanted burst, in requests.
+    #[prost(double, tag = "5")]
+    pub burst: f64,
+    /// Wanted tokens, in requests.
+    #[prost(double, tag = "6")]
+    pub tokens: f64,
+    /// Renews a loan that the borrower still holds.
+    #[prost(bool, tag = "7")]
+    pub renew: bool,
+}
+
+/// A parcel of rate, burst and tokens that moves for the length of a lease.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loan {
+    /// Loan id from the request.
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    /// Rate part, in requests per second.
+    #[prost(double, tag = "2")]
+    pub rate: f64,
+    /// Burst part, in requests.
+    #[prost(double, tag = "3")]
+    pub burst: f64,
+    /// Tokens, in requests; at most the burst part.
+    #[prost(double, tag = "4")]
+    pub tokens: f64,
+    /// Length of the lease, in milliseconds from the sending of the request.
+    #[prost(uint32, tag = "5")]
+    pub lease_ms: u32,
+}
+
+/// Gives a loan back.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Return {
+    /// Loan id.
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    /// Name of the borrowing VM.
+    #[prost(string, tag = "2")]
+    pub vm: String,
+    /// Team name.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// Unspent tokens, in requests.
+    #[prost(double, tag = "4")]
+    pub tokens: f64,
+}
+
+/// Asks the owner of a slot book for a slot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Acquire {
+    /// Service name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Region whose slots are asked for.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// Team of the request.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// Name of the asking VM.
+    #[prost(string, tag = "4")]
+    pub vm: String,
+    /// Time left to the caller's deadline, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub deadline_ms: u32,
+    /// The asking VM is in another region.
+    #[prost(bool, tag = "6")]
+    pub remote: bool,
+    /// Endpoints that already refused this request.
+    #[prost(string, repeated, tag = "7")]
+    pub avoid: Vec<String>,
+}
+
+/// The right to run one request on an endpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Permit {
+    /// Permit id, unique to the slot book.
+    #[prost(uint64, tag = "1")]
+    pub permit: u64,
+    /// Address of the endpoint.
+    #[prost(string, tag = "2")]
+    pub endpoint: String,
+    /// Length of the lease, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub lease_ms: u32,
+}
+
+/// A refusal of a slot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Denied {
+    /// Why no slot was given.
+    #[prost(enumeration = "DeniedCause", tag = "1")]
+    pub cause: i32,
+}
+
+/// Why no slot was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum DeniedCause {
+    /// No cause was named.
+    Unspecified = 0,
+    /// No slot would be free before the deadline.
+    Busy = 1,
+    /// The VM asked does not own the slot book.
+    NotOwner = 2,
+    /// The service or region is not in force here.
+    Unknown = 3,
+}
+
+/// Frees or renews a permit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Release {
+    /// Service name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Region name.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// Permit id.
+    #[prost(uint64, tag = "3")]
+    pub permit: u64,
+    /// Keeps the permit for another lease instead of freeing it.
+    #[prost(bool, tag = "4")]
+    pub renew: bool,
+    /// The endpoint refused because all its slots were busy.
+    #[prost(bool, tag = "5")]
+    pub shed: bool,
+}
--- /dev/null
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -0,0 +1,250 @@
+//! A small fleet of real processes between in-process stand-ins.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertgrade_standins::backend::{BackendConfig, BackendServer};
+use filbertgrade_standins::platform::{PlatformServer, VmEntry};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_filbertgrade");
+
+/// Gives each fleet of this test process a second octet of its own, so that
+/// tests that run at the same time do not share addresses.
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
+
+/// A configuration with one service `chart` in two regions, `order` besides it
+/// and an open service `size-list`.
+const CONFIG: &str = r#"
+deployment = "test"
+[lookup]
+ttl_ms = 1000
+[shift]
+cap = 0.5
+[network]
+store_region = "north"
+domain_latency_ms = 0.5
+region_latency_ms = 20
+client_latency_ms = 3
+connect_ms = 1
+region_bandwidth_mbit = 1000
+[regions.north]
+failure_domains = ["north-a"]
+[regions.south]
+failure_domains = ["south-a"]
+[services.chart]
+slots = 4
+connections = 100
+[services.chart.weights]
+north = 1
+south = 1
+[services.chart.endpoints]
+north-a = ["127.OCTET.9.1:9000"]
+south-a = ["127.OCTET.9.2:9000"]
+[services.size-list]
+open = true
+slots = 4
+connections = 100
+[services.size-list.weights]
+north = 1
+south = 1
+[services.size-list.endpoints]
+north-a = ["127.OCTET.9.1:9000"]
+south-a = ["127.OCTET.9.2:9000"]
+[teams.atelier]
+rate = 1000
+burst = 1000
+[teams.outfitter]
+rate = 20
+burst = 20
+[client_blocks]
+north = ["10.1.0.0/16"]
+south = ["10.2.0.0/16"]
+"#;
+
+/// Stand-ins and processes of one test. Dropping it ends the processes.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformServer,
+    pub(crate) backends: Vec<BackendServer>,
+    pub(crate) vms: Vec<Vm>,
+    octet: u8,
+}
+
+/// One VM: its entry and its agent.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) address: IpAddr,
+    pub(crate) entry: Child,
+    pub(crate) agent: Child,
+}
+
+impl Fleet {
+    /// Starts a platform, two backend servers and `vms` VMs, alternately in
+    /// the two regions.
+    pub(crate) async fn start(vms: u8) -> Self {
+        // The process id keeps test binaries that run at the same time apart.
+        let octet = 64
+            + ((std::process::id() % 12) as u8) * 12
+            + NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 12;
+        let platform = PlatformServer::bind(address(octet, 8, 1, 6000))
+            .await
+            .unwrap();
+        let mut backends = Vec::new();
+        for n in 1..=2 {
+            let cfg = BackendConfig {
+                name: format!("backend-{n}"),
+                ..BackendConfig::default()
+            };
+            backends.push(
+                BackendServer::bind(address(octet, 9, n, 9000), cfg)
+                    .await
+                    .unwrap(),
+            );
+        }
+        let mut fleet = Self {
+            platform,
+            backends,
+            vms: Vec::new(),
+            octet,
+        };
+        for n in 1..=vms {
+            fleet.add_vm(n);
+        }
+        fleet
+    }
+
+    /// Starts the processes of one VM and puts it on the platform's list.
+    pub(crate) fn add_vm(&mut self, n: u8) {
+        let region = if n % 2 == 1 { "north" } else { "south" };
+        let name = format!("vm-{n}");
+        let address = address(self.octet, 1, n, 0).ip();
+        let vm = VmEntry {
+            name: name.clone(),
+            address: address.to_string(),
+            region: region.to_owned(),
+            failure_domain: format!("{region}-a"),
+            state: "live".to_owned(),
+        };
+        self.platform.put_vm(&vm);
+        let start = |role: &str| {
+            Command::new(BINARY)
+                .arg(role)
+                .args(["--vm", &vm.name, "--address", &vm.address])
+                .args([
+                    "--region",
+                    &vm.region,
+                    "--failure-domain",
+                    &vm.failure_domain,
+                ])
+                .args(["--store", &self.platform.addr().to_string()])
+                .env("RUST_LOG", "error")
+                .stdin(Stdio::null())
+                .stdout(Stdio::null())
+                .spawn()
+                .unwrap()
+        };
+        let agent = start("agent");
+        let entry = start("entry");
+        self.vms.push(Vm {
+            name,
+            address,
+            entry,
+            agent,
+        });
+    }
+
+    /// Applies the fleet's configuration with the command line.
+    pub(crate) async fn apply(&self) {
+        let file = tempfile::NamedTempFile::new().unwrap();
+        let text = CONFIG.replace("OCTET", &self.octet.to_string());
+        std::fs::write(file.path(), text).unwrap();
+        let output = self
+            .command(&["apply", file.path().to_str().unwrap()])
+            .await;
+        assert!(output.starts_with("accepted as version"), "{output}");
+    }
+
+    /// Creates a key with the command line and returns its secret.
+    pub(crate) async fn create_key(&self, team: &str) -> String {
+        let store = self.platform.addr().to_string();
+        run(&["key", "--store", &store, "create", team]).await
+    }
+
+    /// Runs a command against the fleet's platform.
+    pub(crate) async fn command(&self, args: &[&str]) -> String {
+        let store = self.platform.addr().to_string();
+        let mut args = args.to_vec();
+        args.extend(["--store", &store]);
+        run(&args).await
+    }
+
+    /// Waits until `probe` holds for every VM.
+    pub(crate) async fn wait_until<F, R>(&self, within: Duration, probe: F)
+    where
+        F: Fn(SocketAddr) -> R,
+        R: Future<Output = bool>,
+    {
+        let start = Instant::now();
+        for vm in &self.vms {
+            while !probe(vm.callers()).await {
+                assert!(start.elapsed() < within, "{} is not ready", vm.name);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+impl Vm {
+    /// Address of the callers' port.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, 7080)
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        for child in [&mut self.entry, &mut self.agent] {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub(crate) async fn send(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+    let stream = tokio::net::TcpStream::connect(address).await?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let (parts, body) = sender.send_request(req).await?.into_parts();
+    Ok(Response::from_parts(
+        parts,
+        body.collect().await?.to_bytes(),
+    ))
+}
+
+async fn run(args: &[&str]) -> String {
+    let args: Vec<String> = args.iter().map(ToString::to_string).collect();
+    let output =
+        tokio::task::spawn_blocking(move || Command::new(BINARY).args(args).output().unwrap())
+            .await
+            .unwrap();
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    String::from_utf8(output.stdout).unwrap().trim().to_owned()
+}
+
+fn address(octet: u8, third: u8, fourth: u8, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, octet, third, fourth)), port)
+}
--- /dev/null
+++ b/crates/filbertgrade/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! Integration tests with real processes on loopback addresses.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a set-up step that fails must fail the test"
+)]
+
+mod fleet;
+mod thin_path;
