Admit by share ledgers, run by slot books, and divide limits by an allocator

Entries hold a ledger for each team and lend to each other; a slot book at one VM counts the permits of a service in a region; the agent that holds the lease publishes the share table in two steps. The ledger sits in the entry, so that an agent that dies stops neither admission nor lending.

--- /dev/null
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -0,0 +1,314 @@
+//! The allocator: the one agent that divides the teams' limits among VMs.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertgrade_coord::lease::{FencingToken, Lease, LeaseAction, LeaseConfig, LeaseRecord};
+use filbertgrade_coord::names::VmName;
+use filbertgrade_coord::rendezvous;
+use filbertgrade_coord::share_table::{AllocatorView, Presence, ShareTable, TableStep, next_step};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use serde::{Deserialize, Serialize};
+
+use super::Agent;
+use crate::connection::PeerLink;
+use crate::platform::{Condition, PlatformError, Revision};
+use crate::version::{SHARE_TABLE, VmRecord, decode_share_table, encode_share_table};
+use crate::wire::{Body, StatusRequest};
+
+/// Name of the lease's object.
+const LEASE: &str = "leases/allocator";
+
+/// VMs that try to hold the lease. With three, the loss of two at once still
+/// leaves one; more would only read the store more often.
+const CANDIDATES: usize = 3;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Time for one agent to acknowledge a table.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Follows the lease, and divides the limits while holding it.
+pub(crate) async fn run(agent: Arc<Agent>) {
+    let lease = Lease::new(
+        agent.settings.vm.clone(),
+        rand::random(),
+        LeaseConfig::default(),
+    );
+    let mut allocator = Allocator {
+        agent,
+        lease,
+        absent_since: BTreeMap::new(),
+        table_since: None,
+        links: HashMap::new(),
+    };
+    let mut ticks = tokio::time::interval(ROUND);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if allocator.is_candidate() {
+            allocator.follow_lease().await;
+            allocator.divide().await;
+        }
+    }
+}
+
+struct Allocator {
+    agent: Arc<Agent>,
+    lease: Lease,
+    /// When each VM of the table was first missed in the platform's list.
+    absent_since: BTreeMap<VmName, Instant>,
+    /// When the present table's version was first seen.
+    table_since: Option<(u64, Instant)>,
+    links: HashMap<VmName, (SocketAddr, PeerLink)>,
+}
+
+impl Allocator {
+    fn is_candidate(&self) -> bool {
+        let state = self.agent.state();
+        let live = state.vms.iter().filter(|vm| vm.is_live());
+        let candidates = rendezvous::top(LEASE, live.map(|vm| &vm.name), CANDIDATES);
+        candidates.contains(&&self.agent.settings.vm)
+    }
+
+    async fn follow_lease(&mut self) {
+        let result = match self.lease.next(Instant::now()) {
+            LeaseAction::Wait { .. } => Ok(()),
+            LeaseAction::Read => self.read_lease().await,
+            LeaseAction::Write { expected, record } => self.write_lease(expected, &record).await,
+        };
+        if let Err(error) = result {
+            log::warn!("event=lease_failed error=\"{error}\"");
+        }
+    }
+
+    async fn read_lease(&mut self) -> Result<(), PlatformError> {
+        let object = self.agent.platform.get(LEASE).await?;
+        let stored = object.and_then(|object| {
+            let file: LeaseFile = serde_json::from_slice(object.value.as_deref()?).ok()?;
+            Some((object.revision, LeaseRecord::try_from(file).ok()?))
+        });
+        self.lease.observe(Instant::now(), stored);
+        Ok(())
+    }
+
+    async fn write_lease(
+        &mut self,
+        expected: Option<Revision>,
+        record: &LeaseRecord,
+    ) -> Result<(), PlatformError> {
+        let value = serde_json::to_vec(&LeaseFile::from(record)).unwrap_or_default();
+        let condition = expected.map_or(Condition::Absent, Condition::At);
+        let written = self.agent.platform.put(LEASE, value.into(), condition);
+        match written.await {
+            Ok(revision) => {
+                let held = self.lease.held(Instant::now()).is_some();
+                self.lease.written(Instant::now(), revision);
+                if !held {
+                    log::info!("event=lease_acquired token={}", record.token.get());
+                }
+                Ok(())
+            }
+            Err(error) if error.is_conflict() => {
+                self.lease.conflicted();
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Takes the next step towards equal shares, if this agent holds the lease.
+    async fn divide(&mut self) {
+        let Some(token) = self.lease.held(Instant::now()) else {
+            self.absent_since.clear();
+            self.table_since = None;
+            return;
+        };
+        let (stored, vms) = {
+            let state = self.agent.state();
+            let stored = state
+                .objects
+                .get(SHARE_TABLE)
+                .and_then(|e| Some((e.revision, decode_share_table(&e.value)?)));
+            (stored, state.vms.clone())
+        };
+        let (condition, table) = match stored {
+            Some((revision, table)) => (Condition::At(revision), table),
+            None => (Condition::Absent, ShareTable::default()),
+        };
+        if token.check(table.token()).is_err() {
+            return;
+        }
+        if let Some(next) = self.next_table(token, &table, &vms).await {
+            self.publish(&next, condition).await;
+        }
+    }
+
+    async fn next_table(
+        &mut self,
+        token: FencingToken,
+        table: &ShareTable,
+        vms: &[VmRecord],
+    ) -> Option<ShareTable> {
+        if table.token() < token && table.version() > 0 {
+            // The first write under a new token makes any write that the
+            // former holder still has under way fail.
+            return Some(table.with_token(token));
+        }
+        let now = Instant::now();
+        let presence = self.presence(table, vms, now);
+        let table_since = self.since(table.version(), now);
+        let mut acks = BTreeMap::new();
+        loop {
+            let view = AllocatorView {
+                token,
+                table,
+                table_since,
+                vms: &presence,
+                acks: &acks,
+            };
+            match next_step(view, Instant::now()) {
+                TableStep::Publish(next) => return Some(next),
+                TableStep::Done => return None,
+                TableStep::Wait { vm, .. } if !acks.is_empty() => {
+                    log::debug!("event=share_table_waits vm={vm}");
+                    return None;
+                }
+                TableStep::Wait { .. } => acks = self.ask_for_acks(vms).await,
+            }
+            if acks.is_empty() {
+                return None;
+            }
+        }
+    }
+
+    async fn publish(&mut self, next: &ShareTable, condition: Condition) {
+        let value = Bytes::from(encode_share_table(next));
+        match self.agent.platform.put(SHARE_TABLE, value, condition).await {
+            Ok(_) => log::info!(
+                "event=share_table_published version={} token={}",
+                next.version(),
+                next.token().get()
+            ),
+            Err(error) => log::warn!("event=share_table_failed error=\"{error}\""),
+        }
+    }
+
+    fn presence(
+        &mut self,
+        table: &ShareTable,
+        vms: &[VmRecord],
+        now: Instant,
+    ) -> BTreeMap<VmName, Presence> {
+        let mut presence: BTreeMap<VmName, Presence> = vms
+            .iter()
+            .map(|vm| {
+                let present = if vm.is_live() {
+                    Presence::Live
+                } else {
+                    Presence::Leaving
+                };
+                (vm.name.clone(), present)
+            })
+            .collect();
+        self.absent_since.retain(|vm, _| !presence.contains_key(vm));
+        for vm in table.units().keys() {
+            if !presence.contains_key(vm) {
+                let since = *self.absent_since.entry(vm.clone()).or_insert(now);
+                presence.insert(vm.clone(), Presence::AbsentSince(since));
+            }
+        }
+        presence
+    }
+
+    fn since(&mut self, version: u64, now: Instant) -> Instant {
+        match self.table_since {
+            Some((known, since)) if known == version => since,
+            _ => {
+                self.table_since = Some((version, now));
+                now
+            }
+        }
+    }
+
+    /// Which version of the table is in effect on each VM that answers.
+    async fn ask_for_acks(&mut self, vms: &[VmRecord]) -> BTreeMap<VmName, u64> {
+        let port = self.agent.settings.ports.agent_peer;
+        let local = self.agent.settings.address;
+        self.links
+            .retain(|name, _| vms.iter().any(|vm| vm.name == *name));
+        let mut answers: FuturesUnordered<_> = vms
+            .iter()
+            .map(|vm| {
+                let address = SocketAddr::new(vm.address, port);
+                let known = self.links.get(&vm.name).filter(|(at, _)| *at == address);
+                let link = match known {
+                    Some((_, link)) => link.clone(),
+                    None => PeerLink::new(address, Some(local)),
+                };
+                self.links.insert(vm.name.clone(), (address, link.clone()));
+                ask_for_ack(vm.name.clone(), link)
+            })
+            .collect();
+        let mut acks = BTreeMap::new();
+        while let Some(answer) = answers.next().await {
+            acks.extend(answer);
+        }
+        acks
+    }
+}
+
+async fn ask_for_ack(vm: VmName, link: PeerLink) -> Option<(VmName, u64)> {
+    let request = Body::StatusRequest(StatusRequest {});
+    match link.call(request, STATUS_TIMEOUT).await {
+        Ok(Body::StatusReply(reply)) if reply.vm == vm.as_str() => {
+            Some((vm, reply.entry?.share_table_version?))
+        }
+        _ => None,
+    }
+}
+
+/// The lease as it is stored.
+#[derive(Serialize, Deserialize)]
+struct LeaseFile {
+    holder: Option<String>,
+    incarnation: u64,
+    token: u64,
+    write: u64,
+}
+
+impl From<&LeaseRecord> for LeaseFile {
+    fn from(record: &LeaseRecord) -> Self {
+        let (holder, incarnation) = match &record.holder {
+            Some((vm, incarnation)) => (Some(vm.to_string()), *incarnation),
+            None => (None, 0),
+        };
+        Self {
+            holder,
+            incarnation,
+            token: record.token.get(),
+            write: record.write,
+        }
+    }
+}
+
+impl TryFrom<LeaseFile> for LeaseRecord {
+    type Error = filbertgrade_coord::names::NameError;
+
+    fn try_from(file: LeaseFile) -> Result<Self, Self::Error> {
+        let holder = match file.holder {
+            Some(vm) => Some((VmName::try_from(vm.as_str())?, file.incarnation)),
+            None => None,
+        };
+        Ok(Self {
+            holder,
+            token: FencingToken::new(file.token),
+            write: file.write,
+        })
+    }
+}
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: watches the platform, exchanges state with peer agents and
 //! feeds the entry of its VM.
 
+mod allocator;
 mod peers;
 mod pull;
 mod store;
@@ -158,6 +159,7 @@
     let agent = Arc::new(Agent::new(settings, platform));
     tokio::spawn(store::follow_store(Arc::clone(&agent)));
     tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
+    tokio::spawn(allocator::run(Arc::clone(&agent)));
     serve_frames(listener, move |_peer, body| {
         peers::answer(Arc::clone(&agent), body)
     })
--- a/crates/filbertgrade/src/process/entry/feed.rs
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -53,9 +53,9 @@
         }
     }
     let until = sent + Duration::from_millis(feed.valid_ms.into());
-    entry
-        .valid_until
-        .store(Arc::new((feed.valid_ms > 0).then_some(until)));
+    let until = (feed.valid_ms > 0).then_some(until);
+    entry.valid_until.store(Arc::new(until));
+    entry.admission.update(&entry.view(), until);
 }
 
 /// A revision without changed objects needs no new view besides its number.
@@ -72,12 +72,15 @@
         );
         view
     };
+    entry.links.update(&view);
     entry.in_force.store(Arc::new(view));
 }
 
 fn report(entry: &Entry) -> Report {
+    let view = entry.view();
     Report {
-        revision: entry.in_force.load().revision,
-        share_table_revision: 0,
+        revision: view.revision,
+        share_table_version: entry.admission.version_in_effect(),
+        config_version: view.config_version,
     }
 }
--- /dev/null
+++ b/crates/filbertgrade/src/process/entry/peers.rs
@@ -0,0 +1,48 @@
+//! Answers the entries of other VMs.
+
+use std::sync::Arc;
+
+use super::Entry;
+use crate::wire::{Body, Borrow, Loan, LoanMessageError, LoanRenewed, RenewLoan, ReturnLoan};
+
+pub(crate) async fn answer(entry: Arc<Entry>, body: Body) -> Option<Body> {
+    match body {
+        Body::Borrow(borrow) => answered(lend(&entry, borrow).map(Body::Loan)),
+        Body::RenewLoan(renewal) => answered(renew(&entry, renewal).map(Body::LoanRenewed)),
+        Body::ReturnLoan(returned) => {
+            if let Err(error) = take_back(&entry, returned) {
+                log::warn!("event=peer_message_rejected error=\"{error}\"");
+            }
+            None
+        }
+        Body::Acquire(acquire) => Some(entry.slots.serve_acquire(&entry.view(), acquire).await),
+        Body::RenewPermit(renewal) => Some(entry.slots.serve_renewal(&entry.view(), renewal)),
+        Body::Release(release) => {
+            entry.slots.serve_release(&release);
+            None
+        }
+        _ => None,
+    }
+}
+
+fn lend(entry: &Entry, borrow: Borrow) -> Result<Loan, LoanMessageError> {
+    let (team, ask) = borrow.try_into()?;
+    Ok(entry.admission.lend(&team, &ask).into())
+}
+
+fn renew(entry: &Entry, renewal: RenewLoan) -> Result<LoanRenewed, LoanMessageError> {
+    let (team, renewal) = renewal.try_into()?;
+    Ok(entry.admission.renew(&team, &renewal).into())
+}
+
+fn take_back(entry: &Entry, returned: ReturnLoan) -> Result<(), LoanMessageError> {
+    let (team, returned) = returned.try_into()?;
+    entry.admission.take_back(&team, &returned);
+    Ok(())
+}
+
+fn answered(reply: Result<Body, LoanMessageError>) -> Option<Body> {
+    reply
+        .inspect_err(|error| log::warn!("event=peer_message_rejected error=\"{error}\""))
+        .ok()
+}
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -3,14 +3,17 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use filbertgrade_coord::names::{RegionName, VmName};
+use filbertgrade_coord::share_table::ShareTable;
 use filbertgrade_coord::versioned::VersionedMap;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Config, KeyRecord, KeyTable, VmRecord};
+use super::shares::{self, SHARE_TABLE};
+use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
 use crate::platform::Revision;
 
 /// Name of the object that makes a configuration visible.
@@ -40,6 +43,8 @@
     pub keys: KeyTable,
     /// VMs of the platform's list.
     pub vms: IndexMap<VmName, VmRecord>,
+    /// Each VM's units of every team's rate and burst.
+    pub shares: ShareTable,
     /// Backend servers that get no new work.
     pub drained_servers: HashSet<SocketAddr>,
     /// VMs that operators drain.
@@ -48,6 +53,15 @@
     pub drained_regions: HashSet<String>,
 }
 
+/// One endpoint of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: u32,
+    /// The endpoint gets no new work.
+    pub(crate) drained: bool,
+}
+
 impl InForce {
     /// Builds the view from the objects of the platform.
     ///
@@ -89,6 +103,10 @@
             if let Some(vm) = VmRecord::decode(value) {
                 self.vms.insert(vm.name.clone(), vm);
             }
+        } else if name == SHARE_TABLE {
+            if let Some(table) = shares::decode(value) {
+                self.shares = table;
+            }
         } else if let Some(address) = name.strip_prefix("drains/server/") {
             if let Ok(address) = address.parse() {
                 self.drained_servers.insert(address);
@@ -100,6 +118,67 @@
         }
     }
 
+    /// A VM that stays and is not drained.
+    #[must_use]
+    pub fn takes_work(&self, vm: &VmRecord) -> bool {
+        vm.is_live() && !self.drained_vms.contains(vm.name.as_str())
+    }
+
+    /// Endpoints of a service in a region.
+    pub(crate) fn endpoints<'a>(
+        &'a self,
+        service: &ServiceName,
+        region: &'a RegionName,
+    ) -> impl Iterator<Item = Endpoint> + 'a {
+        let config = self.config.as_deref();
+        config
+            .and_then(|cfg| Some((cfg, cfg.services.get(service)?)))
+            .into_iter()
+            .flat_map(move |(cfg, service)| {
+                service
+                    .all_endpoints()
+                    .filter(move |(domain, _)| cfg.region_of(domain) == Some(region))
+                    .map(move |(_, address)| Endpoint {
+                        address,
+                        slots: service.slots,
+                        drained: self.is_drained(address),
+                    })
+            })
+    }
+
+    /// Endpoints of a service in a region that take new work, with their slots.
+    pub(crate) fn usable_endpoints<'a>(
+        &'a self,
+        service: &ServiceName,
+        region: &'a RegionName,
+    ) -> impl Iterator<Item = (SocketAddr, u32)> + 'a {
+        self.endpoints(service, region)
+            .filter(|endpoint| !endpoint.drained)
+            .map(|endpoint| (endpoint.address, endpoint.slots))
+    }
+
+    /// Time for a message between two regions and its answer.
+    pub(crate) fn round_trip(&self, from: &RegionName, to: &RegionName) -> Duration {
+        let Some(config) = &self.config else {
+            return Duration::ZERO;
+        };
+        let one_way = if from == to {
+            config.network.domain_latency
+        } else {
+            config.network.region_latency
+        };
+        one_way * 2
+    }
+
+    /// A backend server is drained by an operator, or its VM is leaving.
+    fn is_drained(&self, address: SocketAddr) -> bool {
+        self.drained_servers.contains(&address)
+            || self
+                .vms
+                .values()
+                .any(|vm| vm.address == address.ip() && !self.takes_work(vm))
+    }
+
     /// Regions in order of preference for a client in `region`.
     #[must_use]
     pub fn region_order(&self, region: Option<&RegionName>) -> Vec<RegionName> {
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod in_force;
 mod keys;
 mod names;
+mod shares;
 
 pub use config::{Access, Config, ConfigError, Network, RegionConfig, ServiceConfig, TeamConfig};
 pub(crate) use delta::{apply_delta, delta_for};
@@ -14,3 +15,4 @@
 pub use in_force::{CONFIG_ROOT, ConfigRoot, InForce};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
 pub use names::ServiceName;
+pub(crate) use shares::{SHARE_TABLE, decode as decode_share_table, encode as encode_share_table};
--- /dev/null
+++ b/crates/filbertgrade/src/wire/loans.rs
@@ -0,0 +1,168 @@
+//! Conversions between the ledger's types and their messages.
+
+use filbertgrade_coord::bucket::{Part, PartError};
+use filbertgrade_coord::ledger::{Ask, AskId, LoanId, Parcel, Renewal, Renewed, Return};
+use filbertgrade_coord::names::{NameError, TeamName};
+
+use super::{Borrow, Id, Loan, LoanRenewed, RenewLoan, ReturnLoan};
+
+/// Why a message about a loan was rejected.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum LoanMessageError {
+    /// The ask or the loan is not named.
+    #[error("the message names no loan")]
+    Unnamed,
+    /// A name is malformed.
+    #[error(transparent)]
+    Name(#[from] NameError),
+    /// A rate or burst is malformed.
+    #[error(transparent)]
+    Part(#[from] PartError),
+}
+
+impl From<(&TeamName, &Ask)> for Borrow {
+    fn from((team, ask): (&TeamName, &Ask)) -> Self {
+        Self {
+            team: team.to_string(),
+            ask: Some(Id {
+                vm: ask.id.borrower.to_string(),
+                incarnation: ask.id.incarnation,
+                number: ask.id.number,
+            }),
+            rate: ask.part.rate(),
+            burst: ask.part.burst(),
+            tokens: ask.tokens,
+        }
+    }
+}
+
+impl TryFrom<Borrow> for (TeamName, Ask) {
+    type Error = LoanMessageError;
+
+    fn try_from(borrow: Borrow) -> Result<Self, LoanMessageError> {
+        let id = borrow.ask.ok_or(LoanMessageError::Unnamed)?;
+        let ask = Ask {
+            id: AskId {
+                borrower: id.vm.as_str().try_into()?,
+                incarnation: id.incarnation,
+                number: id.number,
+            },
+            part: Part::new(borrow.rate, borrow.burst)?,
+            tokens: borrow.tokens,
+        };
+        Ok((borrow.team.as_str().try_into()?, ask))
+    }
+}
+
+impl From<Option<Parcel>> for Loan {
+    fn from(parcel: Option<Parcel>) -> Self {
+        parcel.map_or_else(Self::default, |parcel| Self {
+            loan: Some(parcel.loan.into()),
+            rate: parcel.part.rate(),
+            burst: parcel.part.burst(),
+            tokens: parcel.tokens,
+        })
+    }
+}
+
+impl Loan {
+    /// The parcel that answers `ask`; `None` when nothing was lent.
+    pub(crate) fn into_parcel(self, ask: &Ask) -> Result<Option<Parcel>, LoanMessageError> {
+        let Some(loan) = self.loan else {
+            return Ok(None);
+        };
+        Ok(Some(Parcel {
+            loan: loan.try_into()?,
+            ask: ask.id.clone(),
+            part: Part::new(self.rate, self.burst)?,
+            tokens: self.tokens,
+        }))
+    }
+}
+
+impl From<(&TeamName, &Renewal)> for RenewLoan {
+    fn from((team, renewal): (&TeamName, &Renewal)) -> Self {
+        Self {
+            team: team.to_string(),
+            loan: Some(renewal.loan.clone().into()),
+            number: renewal.number,
+        }
+    }
+}
+
+impl TryFrom<RenewLoan> for (TeamName, Renewal) {
+    type Error = LoanMessageError;
+
+    fn try_from(message: RenewLoan) -> Result<Self, LoanMessageError> {
+        let loan = message.loan.ok_or(LoanMessageError::Unnamed)?.try_into()?;
+        let renewal = Renewal {
+            loan,
+            number: message.number,
+        };
+        Ok((message.team.as_str().try_into()?, renewal))
+    }
+}
+
+impl From<Renewed> for LoanRenewed {
+    fn from(renewed: Renewed) -> Self {
+        Self {
+            extended: renewed == Renewed::Extended,
+        }
+    }
+}
+
+impl From<LoanRenewed> for Renewed {
+    fn from(message: LoanRenewed) -> Self {
+        if message.extended {
+            Self::Extended
+        } else {
+            Self::Declined
+        }
+    }
+}
+
+impl From<(&TeamName, Return)> for ReturnLoan {
+    fn from((team, returned): (&TeamName, Return)) -> Self {
+        Self {
+            team: team.to_string(),
+            loan: Some(returned.loan.into()),
+            tokens: returned.tokens,
+        }
+    }
+}
+
+impl TryFrom<ReturnLoan> for (TeamName, Return) {
+    type Error = LoanMessageError;
+
+    fn try_from(message: ReturnLoan) -> Result<Self, LoanMessageError> {
+        let loan = message.loan.ok_or(LoanMessageError::Unnamed)?.try_into()?;
+        let returned = Return {
+            loan,
+            tokens: message.tokens,
+        };
+        Ok((message.team.as_str().try_into()?, returned))
+    }
+}
+
+impl From<LoanId> for Id {
+    fn from(loan: LoanId) -> Self {
+        Self {
+            vm: loan.lender.to_string(),
+            incarnation: loan.incarnation,
+            number: loan.number,
+        }
+    }
+}
+
+impl TryFrom<Id> for LoanId {
+    type Error = NameError;
+
+    fn try_from(id: Id) -> Result<Self, NameError> {
+        Ok(Self {
+            lender: id.vm.as_str().try_into()?,
+            incarnation: id.incarnation,
+            number: id.number,
+        })
+    }
+}
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -3,6 +3,10 @@
 //! Each message is a prost structure of its own. Domain types are made from
 //! them with `TryFrom`, which checks every field.
 
+mod loans;
+
+pub use loans::LoanMessageError;
+
 /// One frame on a link: a request, its reply or a one-way message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -13,7 +17,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub body: Option<Body>,
 }
@@ -45,23 +49,32 @@
     /// Entry to entry: asks for a loan of rate and burst.
     #[prost(message, tag = "9")]
     Borrow(Borrow),
-    /// Answer to [`Borrow`]; all parts are zero when nothing is lent.
+    /// Answer to [`Borrow`].
     #[prost(message, tag = "10")]
     Loan(Loan),
-    /// Entry to entry: gives a loan back before its lease ends.
+    /// Entry to entry: asks the lender to extend a loan.
     #[prost(message, tag = "11")]
-    Return(Return),
-    /// Entry to entry: asks a slot book for a slot, or renews a permit.
+    RenewLoan(RenewLoan),
+    /// Answer to [`RenewLoan`].
     #[prost(message, tag = "12")]
-    Acquire(Acquire),
-    /// Answer to [`Acquire`].
+    LoanRenewed(LoanRenewed),
+    /// Entry to entry: gives a loan back.
     #[prost(message, tag = "13")]
-    Permit(Permit),
-    /// Answer to [`Acquire`].
+    ReturnLoan(ReturnLoan),
+    /// Entry to entry: asks a slot book for a slot.
     #[prost(message, tag = "14")]
-    Denied(Denied),
-    /// Entry to entry: frees or renews a permit.
+    Acquire(Acquire),
+    /// Answer to [`Acquire`] and [`RenewPermit`].
     #[prost(message, tag = "15")]
+    Permit(Permit),
+    /// Answer to [`Acquire`] and [`RenewPermit`].
+    #[prost(message, tag = "16")]
+    Denied(Denied),
+    /// Entry to entry: extends a permit.
+    #[prost(message, tag = "17")]
+    RenewPermit(RenewPermit),
+    /// Entry to entry: frees a slot.
+    #[prost(message, tag = "18")]
     Release(Release),
 }
 
@@ -122,9 +135,13 @@
     /// Revision in force in the entry.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// Revision of the share table that is fully in effect in every ledger.
-    #[prost(uint64, tag = "2")]
-    pub share_table_revision: u64,
+    /// Version of the share table that is in effect in every ledger; absent
+    /// while a ledger still holds more than the table gives it.
+    #[prost(uint64, optional, tag = "2")]
+    pub share_table_version: Option<u64>,
+    /// Version of the configuration in force.
+    #[prost(uint64, tag = "3")]
+    pub config_version: u64,
 }
 
 /// Asks a peer agent for newer state.
@@ -193,35 +210,29 @@
 /// Asks for a loan of a team's rate and burst.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Borrow {
-    /// Loan id, unique to the borrower.
-    #[prost(uint64, tag = "1")]
-    pub loan: u64,
-    /// Name of the borrowing VM.
-    #[prost(string, tag = "2")]
-    pub vm: String,
     /// Team name.
-    #[prost(string, tag = "3")]
+    #[prost(string, tag = "1")]
     pub team: String,
+    /// Names the ask; its VM is the borrower.
+    #[prost(message, optional, tag = "2")]
+    pub ask: Option<Id>,
     /// Wanted rate, in requests per second.
-    #[prost(double, tag = "4")]
+    #[prost(double, tag = "3")]
     pub rate: f64,
     /// Wanted burst, in requests.
-    #[prost(double, tag = "5")]
+    #[prost(double, tag = "4")]
     pub burst: f64,
-    /// Wanted tokens, in requests.
-    #[prost(double, tag = "6")]
+    /// Wanted tokens, in requests; at most the burst.
+    #[prost(double, tag = "5")]
     pub tokens: f64,
-    /// Renews a loan that the borrower still holds.
-    #[prost(bool, tag = "7")]
-    pub renew: bool,
 }
 
-/// A parcel of rate, burst and tokens that moves for the length of a lease.
+/// Answer to [`Borrow`]: a parcel that moves for the length of a lease.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Loan {
-    /// Loan id from the request.
-    #[prost(uint64, tag = "1")]
-    pub loan: u64,
+    /// Names the loan; its VM is the lender. Nothing was lent when absent.
+    #[prost(message, optional, tag = "1")]
+    pub loan: Option<Id>,
     /// Rate part, in requests per second.
     #[prost(double, tag = "2")]
     pub rate: f64,
@@ -231,28 +242,58 @@
     /// Tokens, in requests; at most the burst part.
     #[prost(double, tag = "4")]
     pub tokens: f64,
-    /// Length of the lease, in milliseconds from the sending of the request.
-    #[prost(uint32, tag = "5")]
-    pub lease_ms: u32,
 }
 
-/// Gives a loan back.
+/// Asks the lender to extend a loan.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Return {
-    /// Loan id.
-    #[prost(uint64, tag = "1")]
-    pub loan: u64,
-    /// Name of the borrowing VM.
-    #[prost(string, tag = "2")]
-    pub vm: String,
+pub struct RenewLoan {
     /// Team name.
-    #[prost(string, tag = "3")]
+    #[prost(string, tag = "1")]
     pub team: String,
+    /// The loan.
+    #[prost(message, optional, tag = "2")]
+    pub loan: Option<Id>,
+    /// Counts the renewals of the loan.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+}
+
+/// Answer to [`RenewLoan`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoanRenewed {
+    /// The loan runs for another lease.
+    #[prost(bool, tag = "1")]
+    pub extended: bool,
+}
+
+/// Gives a loan back before its lease ends.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReturnLoan {
+    /// Team name.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// The loan.
+    #[prost(message, optional, tag = "2")]
+    pub loan: Option<Id>,
     /// Unspent tokens, in requests.
-    #[prost(double, tag = "4")]
+    #[prost(double, tag = "3")]
     pub tokens: f64,
 }
 
+/// A number that one incarnation of a VM's process gave out.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Id {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Incarnation of the process.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Counts within the incarnation.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+}
+
 /// Asks the owner of a slot book for a slot.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Acquire {
@@ -282,15 +323,23 @@
 /// The right to run one request on an endpoint.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Permit {
-    /// Permit id, unique to the slot book.
-    #[prost(uint64, tag = "1")]
-    pub permit: u64,
+    /// The permit.
+    #[prost(message, optional, tag = "1")]
+    pub permit: Option<PermitId>,
     /// Address of the endpoint.
     #[prost(string, tag = "2")]
     pub endpoint: String,
-    /// Length of the lease, in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub lease_ms: u32,
+}
+
+/// A permit of one incarnation of a slot book.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct PermitId {
+    /// Incarnation of the slot book.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Counts within the incarnation.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 /// A refusal of a slot.
@@ -311,11 +360,31 @@
     Busy = 1,
     /// The VM asked does not own the slot book.
     NotOwner = 2,
-    /// The service or region is not in force here.
+    /// The service, region or permit is not known here.
     Unknown = 3,
+    /// The region has no endpoint that takes work.
+    NoEndpoint = 4,
+}
+
+/// Extends a permit. A slot book that does not know the permit counts the
+/// request anew, so that a book rebuilt elsewhere sees what runs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RenewPermit {
+    /// Service name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Region name.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// The permit.
+    #[prost(message, optional, tag = "3")]
+    pub permit: Option<PermitId>,
+    /// Address of the endpoint.
+    #[prost(string, tag = "4")]
+    pub endpoint: String,
 }
 
-/// Frees or renews a permit.
+/// Frees a slot.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Release {
     /// Service name.
@@ -324,13 +393,10 @@
     /// Region name.
     #[prost(string, tag = "2")]
     pub region: String,
-    /// Permit id.
-    #[prost(uint64, tag = "3")]
-    pub permit: u64,
-    /// Keeps the permit for another lease instead of freeing it.
+    /// The permit.
+    #[prost(message, optional, tag = "3")]
+    pub permit: Option<PermitId>,
+    /// The endpoint refused the request.
     #[prost(bool, tag = "4")]
-    pub renew: bool,
-    /// The endpoint refused because all its slots were busy.
-    #[prost(bool, tag = "5")]
-    pub shed: bool,
+    pub refused: bool,
 }
