Add the caller stand-in, open-loop load and the joined report

Latency counts from the planned time of sending, because a stalled system would otherwise hide the requests that wait behind it.

--- /dev/null
+++ b/crates/filbertgrade-standins/src/caller/load.rs
@@ -0,0 +1,301 @@
+//! Open-loop load of several teams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use super::report::{CallRecord, Limit, LoadReport};
+use super::{CallRequest, Caller, CallerConfig, Key, Route, exponential};
+use crate::backend::DEFAULT_ANSWER_BYTES;
+
+/// Largest number of calls in flight per team. More calls than this count as skipped, so that a
+/// system that does not answer cannot exhaust the memory of the test.
+const MAX_IN_FLIGHT: usize = 2_000;
+
+/// One kind of request in the mix of a team.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// HTTP method. `GET` and `PUT` count as idempotent.
+    pub method: Method,
+    /// Path `/<service>/...` without a query.
+    pub path: String,
+    /// Further query parameters, as in [`CallRequest::query`]. Default empty.
+    pub query: String,
+    /// Size of the request body in bytes. Default 0, for uploads as given.
+    pub body_bytes: usize,
+    /// Size of the answer in bytes. Default 64.
+    pub answer_bytes: usize,
+    /// Share of this kind relative to the other weights of the mix. Default 1.
+    pub weight: u32,
+    /// Sends a new `idempotency-key` with each request. Default off.
+    pub idempotency_key: bool,
+}
+
+impl Kind {
+    /// `GET /<service>/chart`.
+    #[must_use]
+    pub fn chart(service: &str) -> Kind {
+        Kind::new(Method::GET, format!("/{service}/chart"), 0)
+    }
+
+    /// `POST /<service>/order` with a body of 256 bytes.
+    #[must_use]
+    pub fn order(service: &str) -> Kind {
+        Kind::new(Method::POST, format!("/{service}/order"), 256)
+    }
+
+    /// `PUT /<service>/scan` with a body of `body_bytes` bytes.
+    #[must_use]
+    pub fn upload(service: &str, body_bytes: usize) -> Kind {
+        Kind::new(Method::PUT, format!("/{service}/scan"), body_bytes)
+    }
+
+    /// Changes the weight.
+    #[must_use]
+    pub fn weight(mut self, weight: u32) -> Kind {
+        self.weight = weight;
+        self
+    }
+
+    fn new(method: Method, path: String, body_bytes: usize) -> Kind {
+        Kind {
+            method,
+            path,
+            query: String::new(),
+            body_bytes,
+            answer_bytes: DEFAULT_ANSWER_BYTES,
+            weight: 1,
+            idempotency_key: false,
+        }
+    }
+}
+
+/// Load of one team.
+#[derive(Clone, Debug)]
+pub struct TeamLoad {
+    /// Name of the team, as the system under test knows it.
+    pub name: String,
+    /// Key of the team. Default none.
+    pub key: Option<Key>,
+    /// Mean number of requests per second. Default 10.
+    pub rate: f64,
+    /// Number of requests that are sent at once. The groups arrive as a Poisson process, so the
+    /// mean rate does not depend on this. Default 1.
+    pub burst: u32,
+    /// Kinds of requests. Default none; the caller has to set at least one.
+    pub mix: Vec<Kind>,
+    /// Rate and burst that the system grants the team. Default none, which means that the report
+    /// does not judge rates.
+    pub limit: Option<Limit>,
+}
+
+impl TeamLoad {
+    /// Creates the load of one team with the default burst and no key or limit.
+    #[must_use]
+    pub fn new(name: &str, rate: f64, mix: Vec<Kind>) -> TeamLoad {
+        TeamLoad {
+            name: name.to_owned(),
+            key: None,
+            rate,
+            burst: 1,
+            mix,
+            limit: None,
+        }
+    }
+}
+
+/// Settings of a [`Load`].
+#[derive(Clone, Debug)]
+pub struct LoadConfig {
+    /// The teams. Default none.
+    pub teams: Vec<TeamLoad>,
+    /// Settings of every team's caller; the key and the seed are replaced. Default as
+    /// [`CallerConfig`].
+    pub caller: CallerConfig,
+    /// Time during which requests are sent. Default 1 s.
+    pub duration: Duration,
+    /// Deadline of each request. Default 2 s.
+    pub deadline: Duration,
+    /// Seed of arrival times and mixes. It is part of the request ids, so loads whose records are
+    /// joined need different seeds. Default 1.
+    pub seed: u64,
+}
+
+impl Default for LoadConfig {
+    fn default() -> LoadConfig {
+        LoadConfig {
+            teams: Vec::new(),
+            caller: CallerConfig::default(),
+            duration: Duration::from_secs(1),
+            deadline: Duration::from_secs(2),
+            seed: 1,
+        }
+    }
+}
+
+impl LoadConfig {
+    /// Creates a load of `teams` over `route` with the default duration, deadline and seed.
+    #[must_use]
+    pub fn new(route: Route, teams: Vec<TeamLoad>) -> LoadConfig {
+        let caller = CallerConfig {
+            route,
+            ..CallerConfig::default()
+        };
+        LoadConfig {
+            teams,
+            caller,
+            ..LoadConfig::default()
+        }
+    }
+}
+
+/// Open-loop load: requests are sent at their times whether or not earlier ones have ended.
+#[derive(Clone, Debug)]
+pub struct Load {
+    cfg: LoadConfig,
+}
+
+impl Load {
+    /// Creates a load. Nothing is sent before [`run`](Self::run).
+    #[must_use]
+    pub fn new(cfg: LoadConfig) -> Load {
+        Load { cfg }
+    }
+
+    /// Sends the load and waits until every call has ended. This takes at most the duration, the
+    /// deadline and the patience of the callers together.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the mix of a team is empty or its weights are all zero.
+    pub async fn run(self) -> LoadReport {
+        let began = Instant::now();
+        let mut teams = JoinSet::new();
+        for (index, team) in self.cfg.teams.iter().enumerate() {
+            teams.spawn(run_team(
+                self.cfg.clone(),
+                team.clone(),
+                index as u64,
+                began,
+            ));
+        }
+        let mut report = LoadReport::new(&self.cfg.teams);
+        while let Some(finished) = teams.join_next().await {
+            let (name, calls, skipped) = finished.expect("a team's load does not panic");
+            report.add(&name, calls, skipped);
+        }
+        report.finish();
+        report
+    }
+}
+
+async fn run_team(
+    cfg: LoadConfig,
+    team: TeamLoad,
+    index: u64,
+    began: Instant,
+) -> (String, Vec<CallRecord>, u64) {
+    let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(index);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let caller = Caller::new(CallerConfig {
+        key: team.key.clone(),
+        seed,
+        ..cfg.caller.clone()
+    });
+    let bodies = Bodies::new(&team.mix, &mut rng);
+    let mut calls = JoinSet::new();
+    let mut records = Vec::new();
+    let (mut number, mut skipped) = (0_u64, 0);
+    let mut at = Duration::ZERO;
+    loop {
+        at += exponential(&mut rng, team.rate / f64::from(team.burst.max(1)));
+        if at >= cfg.duration {
+            break;
+        }
+        sleep_until(began + at).await;
+        while let Some(finished) = calls.try_join_next() {
+            records.push(finished.expect("a call does not panic"));
+        }
+        for _ in 0..team.burst.max(1) {
+            number += 1;
+            if calls.len() >= MAX_IN_FLIGHT {
+                skipped += 1;
+                continue;
+            }
+            let request_id = format!("{}-{}-{number}", team.name, cfg.seed);
+            let request = request(&team.mix, request_id, cfg.deadline, &bodies, &mut rng);
+            calls.spawn(call(caller.clone(), team.name.clone(), request, began + at));
+        }
+    }
+    while let Some(finished) = calls.join_next().await {
+        records.push(finished.expect("a call does not panic"));
+    }
+    (team.name, records, skipped)
+}
+
+async fn call(caller: Caller, team: String, request: CallRequest, due: Instant) -> CallRecord {
+    let sent = std::time::Instant::now();
+    let result = caller.call(&request).await;
+    CallRecord {
+        request_id: request.request_id,
+        team,
+        idempotent: request.method != Method::POST,
+        sent,
+        // Counted from the planned time, so that a late start of the call is not left out.
+        latency: due.elapsed(),
+        outcome: result.outcome,
+        vm: result.vm,
+    }
+}
+
+fn request(
+    mix: &[Kind],
+    request_id: String,
+    deadline: Duration,
+    bodies: &Bodies,
+    rng: &mut StdRng,
+) -> CallRequest {
+    let total: u32 = mix.iter().map(|kind| kind.weight).sum();
+    let mut pick = rng.random_range(0..total);
+    let kind = mix.iter().find(|kind| {
+        let found = pick < kind.weight;
+        pick = pick.saturating_sub(kind.weight);
+        found
+    });
+    let kind = kind.expect("the pick is below the sum of the weights");
+    CallRequest {
+        method: kind.method.clone(),
+        path: kind.path.clone(),
+        query: kind.query.clone(),
+        body: bodies.pick(kind.body_bytes, rng),
+        answer_bytes: kind.answer_bytes,
+        deadline,
+        idempotency_key: kind.idempotency_key.then(|| format!("once-{request_id}")),
+        request_id,
+    }
+}
+
+/// Random bytes from which bodies are cut without copying.
+struct Bodies(Bytes);
+
+impl Bodies {
+    /// Number of different bodies of the largest size.
+    const OFFSETS: usize = 4096;
+
+    fn new(mix: &[Kind], rng: &mut StdRng) -> Bodies {
+        let largest = mix.iter().map(|kind| kind.body_bytes).max().unwrap_or(0);
+        let mut bytes = vec![0; largest + Bodies::OFFSETS];
+        rng.fill(bytes.as_mut_slice());
+        Bodies(bytes.into())
+    }
+
+    fn pick(&self, size: usize, rng: &mut StdRng) -> Bytes {
+        let offset = rng.random_range(0..Bodies::OFFSETS);
+        self.0.slice(offset..offset + size)
+    }
+}
--- a/crates/filbertgrade-standins/src/lib.rs
+++ b/crates/filbertgrade-standins/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`platform`] is the object API with versions, conditional updates and watches.
 //! - [`backend`] is a backend server with slots, cold starts, load reports and drains.
 //! - [`proxy`] is a TCP proxy that injects faults.
+//! - [`caller`] sends requests, verifies the answers and compares them with the back ends' records.
 
 mod answer;
 pub mod backend;
+pub mod caller;
 mod common;
 pub mod platform;
 pub mod proxy;
