Free silent and distrusted connections in the stand-ins

A silent back-end connection stayed counted after its caller had closed it, so the connection limit refused callers that behave correctly. It now ends when the caller closes it. A caller over HTTP/2 opens a new connection after a lost request; with the silent one it lost every later request as well.

--- a/crates/filbertgrade-standins/src/backend.rs
+++ b/crates/filbertgrade-standins/src/backend.rs
@@ -254,6 +254,12 @@
         self.shared.state().records.clone()
     }
 
+    /// Returns what the server observed since the start or the last call of this function.
+    #[must_use]
+    pub fn take_records(&self) -> BackendRecords {
+        std::mem::take(&mut self.shared.state().records)
+    }
+
     /// Returns how often a request ran.
     #[must_use]
     pub fn ran(&self, request_id: &str) -> u64 {
@@ -272,8 +278,8 @@
         self.shared.state().connections.len()
     }
 
-    /// Makes every connection that is open now silent for ever: it stays open, requests on it are
-    /// not read, and answers on it are dropped. New connections work.
+    /// Makes every connection that is open now silent until the caller closes it: requests and
+    /// answers on it are dropped. New connections work.
     pub fn silence_open_connections(&self) {
         for connection in &self.shared.state().connections {
             connection.silent.send_replace(true);
@@ -472,6 +478,8 @@
 struct SilenceableIo {
     stream: TcpStream,
     silent: Arc<AtomicBool>,
+    /// Whether the caller closed the connection after it became silent.
+    ended: bool,
 }
 
 impl AsyncRead for SilenceableIo {
@@ -480,10 +488,20 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.silent.load(Ordering::SeqCst) {
-            return Poll::Pending;
+        if !self.silent.load(Ordering::SeqCst) {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let mut scratch = [0; 4096];
+        loop {
+            // The end of the stream is passed on, so that a connection that the caller has given
+            // up does not count against the connection limit.
+            let mut dropped = ReadBuf::new(&mut scratch);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut dropped))?;
+            if dropped.filled().is_empty() {
+                self.ended = true;
+                return Poll::Ready(Ok(()));
+            }
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
@@ -505,7 +523,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.silent.load(Ordering::SeqCst) {
+        if self.silent.load(Ordering::SeqCst) && !self.ended {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
@@ -553,6 +571,7 @@
     let io = TokioIo::new(SilenceableIo {
         stream,
         silent: Arc::clone(&silent),
+        ended: false,
     });
     let service = service_fn(|req| handle(Arc::clone(&shared), Arc::clone(&connection), req));
     let builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/filbertgrade-standins/src/caller/connection.rs
+++ b/crates/filbertgrade-standins/src/caller/connection.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// Opens a new connection for the next HTTP/2 request. Without this, a shared connection that
+    /// went silent would lose every later request.
+    pub(super) fn distrust_shared(&self, address: SocketAddr) {
+        if self.http2 {
+            lock(&self.idle).remove(&address);
+        }
+    }
+
     /// Closes the idle connections.
     pub(super) fn clear(&self) {
         lock(&self.idle).clear();
@@ -154,7 +162,7 @@
             let (sender, connection) = handshake.map_err(io::Error::other)?;
             tokio::spawn(connection);
             let shared = Sender::Http2(sender.clone());
-            lock(&self.idle).entry(address).or_default().push(shared);
+            lock(&self.idle).insert(address, vec![shared]);
             Ok(Sender::Http2(sender))
         } else {
             let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
--- a/crates/filbertgrade-standins/src/caller/mod.rs
+++ b/crates/filbertgrade-standins/src/caller/mod.rs
@@ -284,7 +284,10 @@
             let req = self.http_request(request, began, address);
             let sending = self.shared.pool.send(address, req);
             match timeout_at(give_up, sending).await {
-                Err(_) | Ok(Err(SendFailure::Sent)) => return Outcome::Lost { sent: true },
+                Err(_) | Ok(Err(SendFailure::Sent)) => {
+                    self.shared.pool.distrust_shared(address);
+                    return Outcome::Lost { sent: true };
+                }
                 Ok(Err(SendFailure::NotSent)) => {}
                 Ok(Ok((answer, sender))) => {
                     let (outcome, reusable) = read_answer(request, answer, give_up).await;
--- a/crates/filbertgrade-standins/src/proxy.rs
+++ b/crates/filbertgrade-standins/src/proxy.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -444,6 +444,8 @@
 
 async fn connect(source: IpAddr, forward_to: SocketAddr) -> io::Result<TcpStream> {
     match (source, forward_to) {
+        // Connections to loopback addresses come from 127.0.0.1 by default.
+        (IpAddr::V4(Ipv4Addr::LOCALHOST), _) => TcpStream::connect(forward_to).await,
         (IpAddr::V4(from), SocketAddr::V4(to)) if from.is_loopback() && to.ip().is_loopback() => {
             let socket = TcpSocket::new_v4()?;
             socket.bind(SocketAddr::new(source, 0))?;
--- a/crates/filbertgrade-standins/tests/backend.rs
+++ b/crates/filbertgrade-standins/tests/backend.rs
@@ -215,6 +215,8 @@
     assert!(call(addr, "GET", "/s/x", &[], "").await.is_some());
     assert!(!old.is_finished());
     old.abort();
+    tokio::time::sleep(SHORT).await;
+    assert_eq!(server.connections(), 0);
 }
 
 /// Guards against keys that reach a back end unseen, and against a missed connection limit.
--- a/crates/filbertgrade-standins/tests/caller.rs
+++ b/crates/filbertgrade-standins/tests/caller.rs
@@ -109,6 +109,8 @@
     assert_eq!(server.connections(), 1);
     fault(&server);
     assert_eq!(caller.call(&request("fault")).await.outcome, outcome);
+    server.set_draining(false);
+    assert_eq!(caller.call(&request("after")).await.outcome, Outcome::Whole);
 }
 
 /// Guards against foreign or silently truncated answers that pass, and against misread refusals.
--- a/crates/filbertgrade-standins/tests/platform.rs
+++ b/crates/filbertgrade-standins/tests/platform.rs
@@ -189,3 +189,24 @@
     tokio::time::sleep(SHORT * 2).await;
     assert_eq!((platform.revision(), platform.get("vms/vm1")), (2, None));
 }
+
+/// Guards against delays that are not applied, and against abandoned watches that stay counted.
+#[tokio::test]
+async fn delays_and_abandoned_watches() {
+    let platform = PlatformServer::bind(ANY).await.unwrap();
+    let addr = platform.addr();
+    platform.set_delay(SHORT);
+    let began = std::time::Instant::now();
+    assert!(call(addr, "GET", "/v1/objects/a", &[], "").await.is_some());
+    assert!(began.elapsed() >= SHORT);
+    platform.set_delay(Duration::ZERO);
+    let path = "/v1/watch?after=0&wait_ms=5000";
+    let watch = tokio::time::timeout(SHORT, call(addr, "GET", path, &[], ""));
+    assert!(watch.await.is_err());
+    tokio::time::sleep(SHORT).await;
+    let counts = platform.counts();
+    assert_eq!(
+        (counts.reads, counts.watches, counts.waiting_watches),
+        (1, 1, 0)
+    );
+}
