--- a/crates/filbertgrade-blocks/tests/table.rs
+++ b/crates/filbertgrade-blocks/tests/table.rs
@@ -32,7 +32,8 @@
 fn prefix() -> impl Strategy<Value = IpNet> {
     address().prop_flat_map(|addr| {
         let max = if addr.is_ipv4() { 32u8 } else { 128 };
-        (Just(addr), 0..=max).prop_map(|(addr, len)| IpNet::new(addr, len).unwrap().trunc())
+        (Just(addr), 0..=max)
+            .prop_map(|(addr, len)| IpNet::new(addr, len).expect("len is at most max").trunc())
     })
 }
 
