--- a/crates/filbertgrade-blocks/src/codec.rs
+++ b/crates/filbertgrade-blocks/src/codec.rs
@@ -1,6 +1,8 @@
-//! Varints and the delta encoding of entries.
+//! Varints, the delta encoding of entries, and records of entries by page.
 
-use crate::entry::{Local, SiteId};
+use sha2::{Digest, Sha256};
+
+use crate::entry::{Local, SiteId, Slot};
 use crate::error::{DecodeError, DecodeKind};
 
 /// Longest varint: 128 bits in groups of 7.
@@ -39,6 +41,10 @@
         Ok(head)
     }
 
+    pub(crate) fn rest(&mut self) -> &'a [u8] {
+        std::mem::take(&mut self.buf)
+    }
+
     pub(crate) fn byte(&mut self) -> Result<u8, DecodeError> {
         Ok(self.bytes(1)?[0])
     }
@@ -133,6 +139,10 @@
         self.context.previous = *entry;
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     pub(crate) fn finish(self) -> Vec<u8> {
         self.buf
     }
@@ -209,3 +219,111 @@
         }
     }
 }
+
+/// Appends records: the entries of pages in ascending slot order.
+///
+/// A record is the varint step from the ordinal of the slot before, the varint length of the
+/// entries in bytes, and the entries. A page may continue in another chunk with the same slot.
+#[derive(Debug, Default)]
+pub(crate) struct RecordWriter {
+    buf: Vec<u8>,
+    previous: u64,
+}
+
+impl RecordWriter {
+    pub(crate) fn push(&mut self, slot: Slot, entries: &[u8]) {
+        let ordinal = slot.ordinal();
+        put_varint(&mut self.buf, u128::from(ordinal - self.previous));
+        put_varint(&mut self.buf, entries.len() as u128);
+        self.buf.extend_from_slice(entries);
+        self.previous = ordinal;
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    pub(crate) fn finish(self) -> Vec<u8> {
+        self.buf
+    }
+}
+
+/// Decodes what [`RecordWriter`] wrote, one record at a time.
+#[derive(Debug)]
+pub(crate) struct RecordReader<'a> {
+    reader: Reader<'a>,
+    previous: Option<u64>,
+}
+
+impl<'a> RecordReader<'a> {
+    pub(crate) fn new(buf: &'a [u8]) -> RecordReader<'a> {
+        RecordReader {
+            reader: Reader::new(buf),
+            previous: None,
+        }
+    }
+
+    fn read(&mut self) -> Result<(Slot, Vec<Local>), DecodeError> {
+        let step: u64 = self.reader.number()?;
+        if self.previous.is_some() && step == 0 {
+            return Err(DecodeKind::Order.into());
+        }
+        let ordinal = self.previous.unwrap_or(0).checked_add(step);
+        let slot = ordinal
+            .and_then(Slot::from_ordinal)
+            .ok_or(DecodeKind::Span)?;
+        self.previous = ordinal;
+        let len = self.reader.number()?;
+        let entries = self.reader.bytes(len)?;
+        let locals = EntryReader::new(slot.width(), entries).collect::<Result<_, _>>()?;
+        Ok((slot, locals))
+    }
+}
+
+impl Iterator for RecordReader<'_> {
+    type Item = Result<(Slot, Vec<Local>), DecodeError>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.reader.is_empty() {
+            None
+        } else {
+            Some(self.read())
+        }
+    }
+}
+
+/// Number of bytes in a SHA-256 digest.
+pub(crate) const DIGEST_BYTES: usize = 32;
+
+/// Appends the SHA-256 digest of everything before it.
+pub(crate) fn put_digest(buf: &mut Vec<u8>) {
+    let digest = Sha256::digest(&buf);
+    buf.extend_from_slice(&digest);
+}
+
+/// Checks length, digest and magic, and returns what lies between magic and digest.
+pub(crate) fn check_sealed<'a>(
+    bytes: &'a [u8],
+    magic: &'static str,
+    limit: usize,
+) -> Result<Reader<'a>, DecodeError> {
+    if bytes.len() > limit {
+        return Err(DecodeKind::TooLong {
+            len: bytes.len(),
+            limit,
+        }
+        .into());
+    }
+    let split = bytes
+        .len()
+        .checked_sub(DIGEST_BYTES)
+        .ok_or(DecodeKind::Truncated)?;
+    let (content, digest) = bytes.split_at(split);
+    if Sha256::digest(content).as_slice() != digest {
+        return Err(DecodeKind::Digest.into());
+    }
+    let body = content.strip_prefix(magic.as_bytes());
+    Ok(Reader::new(
+        body.ok_or(DecodeKind::Magic { expected: magic })?,
+    ))
+}
--- a/crates/filbertgrade-blocks/src/entry.rs
+++ b/crates/filbertgrade-blocks/src/entry.rs
@@ -31,6 +31,10 @@
     pub site: SiteId,
 }
 
+/// Ordinals of the first IPv4 and the first IPv6 page.
+const FIRST_V4: u64 = 2;
+const FIRST_V6: u64 = FIRST_V4 + (1 << 16);
+
 /// The page an entry is stored in.
 ///
 /// Prefixes too short to fit in one page are kept in one page per family. The order of the
@@ -57,6 +61,30 @@
         }
     }
 
+    /// Highest value of [`Slot::ordinal`].
+    pub(crate) const MAX_ORDINAL: u64 = FIRST_V6 + u32::MAX as u64;
+
+    /// Returns the position among all slots, in the order of the variants.
+    pub(crate) fn ordinal(self) -> u64 {
+        match self {
+            Slot::Wide4 => 0,
+            Slot::Wide6 => 1,
+            Slot::V4(key) => FIRST_V4 + u64::from(key),
+            Slot::V6(key) => FIRST_V6 + u64::from(key),
+        }
+    }
+
+    /// Reverses [`Slot::ordinal`].
+    pub(crate) fn from_ordinal(ordinal: u64) -> Option<Slot> {
+        match ordinal {
+            0 => Some(Slot::Wide4),
+            1 => Some(Slot::Wide6),
+            FIRST_V4..FIRST_V6 => Some(Slot::V4((ordinal - FIRST_V4) as u16)),
+            FIRST_V6..=Slot::MAX_ORDINAL => Some(Slot::V6((ordinal - FIRST_V6) as u32)),
+            _ => None,
+        }
+    }
+
     /// Returns the prefix bits before the first bit that the page resolves.
     fn skipped(self) -> u8 {
         match self {
--- a/crates/filbertgrade-blocks/src/error.rs
+++ b/crates/filbertgrade-blocks/src/error.rs
@@ -104,6 +104,32 @@
     OutsidePage,
     #[error("entries or pages are not in ascending order")]
     Order,
+    #[error("{len} bytes exceed the limit of {limit} bytes")]
+    TooLong { len: usize, limit: usize },
+    #[error("the digest does not match the content")]
+    Digest,
+    #[error("the input does not start with {expected:?}")]
+    Magic { expected: &'static str },
+    #[error("the pages of a chunk lie outside the span that the manifest gives")]
+    Span,
+    #[error("the chunk spans of a manifest do not cover the address space in order")]
+    Coverage,
+    #[error("{0}")]
+    Parts(&'static str),
+    #[error("expected {expected} entries, found {found}")]
+    Count { expected: u64, found: u64 },
+}
+
+impl DecodeError {
+    /// Reports whether the content does not match its digest.
+    pub fn is_digest_mismatch(&self) -> bool {
+        matches!(self.0, DecodeKind::Digest)
+    }
+
+    /// Reports whether the input was refused for its length.
+    pub fn is_too_long(&self) -> bool {
+        matches!(self.0, DecodeKind::TooLong { .. })
+    }
 }
 
 impl From<DecodeKind> for DecodeError {
--- a/crates/filbertgrade-blocks/src/page.rs
+++ b/crates/filbertgrade-blocks/src/page.rs
@@ -84,6 +84,10 @@
         self.sites.len()
     }
 
+    pub(crate) fn source(&self) -> &[u8] {
+        &self.source
+    }
+
     pub(crate) fn locals(&self) -> impl Iterator<Item = Local> + '_ {
         EntryReader::new(self.width, &self.source)
             .map(|entry| entry.expect("the source of a page was written by EntryWriter"))
--- a/crates/filbertgrade-blocks/src/table.rs
+++ b/crates/filbertgrade-blocks/src/table.rs
@@ -95,6 +95,13 @@
         (site != INHERIT).then_some(SiteId(site))
     }
 
+    /// Returns the site in the page of `addr` alone, without the shorter prefixes.
+    pub(crate) fn lookup_narrow(&self, addr: IpAddr) -> Option<SiteId> {
+        let (slot, low) = page_of(addr);
+        let site = self.page(slot)?.search(low);
+        (site != INHERIT).then_some(SiteId(site))
+    }
+
     /// Iterates over the entries: short IPv4 prefixes, short IPv6 prefixes, then the rest by
     /// address.
     pub fn entries(&self) -> impl Iterator<Item = BlockEntry> + '_ {
