--- /dev/null
+++ b/crates/filbertgrade-blocks/examples/measure.rs
@@ -0,0 +1,513 @@
+//! Measures the table at several sizes and prints one JSON object.
+//!
+//! `cargo run --release -p filbertgrade-blocks --example measure -- [--blocks N] [--seed S]`
+//!
+//! Without `--blocks`, the sizes are 50,000, 500,000 and 5,000,000. The blocks are synthetic:
+//! 85% IPv4 (of which 90% are /24, 6% /22 and 4% /28 inside a /24 of the table) and 15% IPv6
+//! (/48 and /56 within some thousands of /32). Blocks near each other share a site: 70% have
+//! the usual site of their neighbourhood, 20% one of three others, 10% any site.
+
+use std::collections::HashSet;
+use std::env;
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use filbertgrade_blocks::{
+    BlockDelta, BlockEntry, BlockTable, EncodedTable, FetchConfig, FetchPlan, FetchStep,
+    PartialTable, PeerId, Received, SharedBlockTable, SiteId, Version,
+};
+use hdrhistogram::Histogram;
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+const SITES: u16 = 770;
+const SIZES: [usize; 3] = [50_000, 500_000, 5_000_000];
+const DEFAULT_SEED: u64 = 20_260_101;
+/// Look-ups in one timed pass.
+const LOOKUPS: usize = 2_000_000;
+/// Distinct blocks that clustered look-ups come from.
+const CLUSTER_BLOCKS: usize = 2_000;
+/// Time per phase of the swap measurement.
+const SWAP_PHASE: Duration = Duration::from_secs(2);
+/// Time between two swaps. 2,600 changes a day are one in 33 s; this is 660 times as many.
+const SWAP_INTERVAL: Duration = Duration::from_millis(50);
+const READERS: usize = 3;
+/// Round trip between peers in the simulated fetch.
+const ROUND_TRIP: Duration = Duration::from_millis(110);
+
+fn main() {
+    let (sizes, seed) = arguments();
+    let results: Vec<Value> = sizes.iter().map(|&blocks| measure(blocks, seed)).collect();
+    let report = json!({ "seed": seed, "sites": SITES, "sizes": results });
+    println!("{report:#}");
+}
+
+/// Reads `--blocks N` and `--seed S`, and exits on anything else.
+fn arguments() -> (Vec<usize>, u64) {
+    let mut sizes = SIZES.to_vec();
+    let mut seed = DEFAULT_SEED;
+    let mut args = env::args().skip(1);
+    while let Some(flag) = args.next() {
+        let number = args.next().and_then(|value| value.parse::<u64>().ok());
+        match (flag.as_str(), number) {
+            ("--blocks", Some(blocks)) => sizes = vec![blocks as usize],
+            ("--seed", Some(value)) => seed = value,
+            _ => {
+                eprintln!("usage: measure [--blocks N] [--seed S]");
+                std::process::exit(2);
+            }
+        }
+    }
+    (sizes, seed)
+}
+
+fn measure(blocks: usize, seed: u64) -> Value {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let entries = synthesize(blocks, &mut rng);
+
+    let started = Instant::now();
+    let table = BlockTable::build(Version(1), &entries).expect("valid entries");
+    let build = started.elapsed();
+    let started = Instant::now();
+    let flat = Flat::build(&entries);
+    let flat_build = started.elapsed();
+
+    let random = addresses(&entries, entries.len(), &mut rng);
+    let clustered = addresses(&entries, CLUSTER_BLOCKS.min(entries.len()), &mut rng);
+    let lookups = json!({
+        "random": compare(&table, &flat, &random),
+        "clustered": compare(&table, &flat, &clustered),
+    });
+    drop(flat);
+
+    let deltas: Vec<Value> = [1, 100, 10_000]
+        .map(|count| delta(&table, &entries, count, &mut rng))
+        .into();
+    let copy = copy(&table);
+    let scattered = scattered_sites(&entries, &mut rng);
+    let swap = swap(&table, &entries, &random, &mut rng);
+    json!({
+        "blocks": table.entry_count(),
+        "ranges": table.range_count(),
+        "heap_bytes": table.heap_bytes(),
+        "heap_bytes_per_block": table.heap_bytes() as f64 / table.entry_count() as f64,
+        "build_s": build.as_secs_f64(),
+        "flat_build_s": flat_build.as_secs_f64(),
+        "lookup": lookups,
+        "delta": deltas,
+        "copy": copy,
+        "encoded_bytes_with_scattered_sites": scattered,
+        "swap": swap,
+    })
+}
+
+/// Makes distinct blocks.
+fn synthesize(blocks: usize, rng: &mut StdRng) -> Vec<BlockEntry> {
+    let mut seen = HashSet::with_capacity(blocks);
+    let mut entries = Vec::with_capacity(blocks);
+    let v6_groups = (blocks / 250).max(1) as u32;
+    let mut recent = 0x0100_0000u32;
+    while entries.len() < blocks {
+        let prefix = if rng.random_bool(0.85) {
+            IpNet::V4(v4_block(&mut recent, rng))
+        } else {
+            let group = 0x2400_0000 + rng.random_range(0..v6_groups) * 7;
+            let addr = u128::from(group) << 96 | u128::from(rng.random::<u32>() >> 12) << 72;
+            let len = if rng.random_bool(0.6) { 48 } else { 56 };
+            IpNet::V6(Ipv6Net::new_assert(Ipv6Addr::from_bits(addr), len).trunc())
+        };
+        if seen.insert(prefix) {
+            entries.push(BlockEntry {
+                prefix,
+                site: site_near(prefix, rng),
+            });
+        }
+    }
+    entries
+}
+
+fn v4_block(recent: &mut u32, rng: &mut StdRng) -> Ipv4Net {
+    let (addr, len) = match rng.random_range(0..100) {
+        0..4 => (*recent | rng.random_range(0..256), 28),
+        4..10 => (rng.random_range(0x0100_0000..0xdf00_0000), 22),
+        _ => (rng.random_range(0x0100_0000..0xdf00_0000), 24),
+    };
+    if len == 24 {
+        *recent = addr & 0xffff_ff00;
+    }
+    Ipv4Net::new_assert(Ipv4Addr::from_bits(addr), len).trunc()
+}
+
+/// Chooses a site that depends on the /16 or /32 of the block, with exceptions.
+fn site_near(prefix: IpNet, rng: &mut StdRng) -> SiteId {
+    let area = match prefix {
+        IpNet::V4(net) => net.addr().to_bits() >> 16,
+        IpNet::V6(net) => (net.addr().to_bits() >> 96) as u32,
+    };
+    let usual = area.wrapping_mul(0x9e37_79b1) >> 8;
+    let site = match rng.random_range(0..100) {
+        0..70 => usual,
+        70..90 => usual + rng.random_range(1..4),
+        _ => rng.random(),
+    };
+    SiteId((site % u32::from(SITES)) as u16)
+}
+
+/// Returns addresses in blocks drawn from the first `from` entries. One in 50 is anywhere.
+fn addresses(entries: &[BlockEntry], from: usize, rng: &mut StdRng) -> Vec<IpAddr> {
+    (0..LOOKUPS)
+        .map(|_| {
+            if rng.random_range(0..50) == 0 {
+                return IpAddr::V4(Ipv4Addr::from_bits(rng.random()));
+            }
+            match entries[rng.random_range(0..from)].prefix {
+                IpNet::V4(net) => {
+                    let host = rng.random::<u32>() & net.hostmask().to_bits();
+                    IpAddr::V4(Ipv4Addr::from_bits(net.addr().to_bits() | host))
+                }
+                IpNet::V6(net) => {
+                    let host = rng.random::<u128>() & net.hostmask().to_bits();
+                    IpAddr::V6(Ipv6Addr::from_bits(net.addr().to_bits() | host))
+                }
+            }
+        })
+        .collect()
+}
+
+/// The alternative layout: one sorted array of ranges per family, searched as a whole.
+struct Flat {
+    v4: (Vec<u32>, Vec<u16>),
+    v6: (Vec<u128>, Vec<u16>),
+}
+
+impl Flat {
+    fn build(entries: &[BlockEntry]) -> Flat {
+        let (mut v4, mut v6) = (Vec::new(), Vec::new());
+        for entry in entries {
+            match entry.prefix {
+                IpNet::V4(net) => {
+                    let (low, len) = (u128::from(net.addr().to_bits()) << 96, net.prefix_len());
+                    v4.push((low, len, entry.site.0));
+                }
+                IpNet::V6(net) => v6.push((net.addr().to_bits(), net.prefix_len(), entry.site.0)),
+            }
+        }
+        let (starts, sites) = flatten(v4);
+        let v4 = (
+            starts.iter().map(|start| (start >> 96) as u32).collect(),
+            sites,
+        );
+        Flat {
+            v4,
+            v6: flatten(v6),
+        }
+    }
+
+    #[inline]
+    fn lookup(&self, addr: IpAddr) -> Option<SiteId> {
+        let site = match addr {
+            IpAddr::V4(addr) => {
+                let bits = addr.to_bits();
+                self.v4.1[self.v4.0.partition_point(|&start| start <= bits) - 1]
+            }
+            IpAddr::V6(addr) => {
+                let bits = addr.to_bits();
+                self.v6.1[self.v6.0.partition_point(|&start| start <= bits) - 1]
+            }
+        };
+        (site != u16::MAX).then_some(SiteId(site))
+    }
+
+    fn heap_bytes(&self) -> usize {
+        self.v4.0.len() * 6 + self.v6.0.len() * 18
+    }
+}
+
+fn flatten(mut blocks: Vec<(u128, u8, u16)>) -> (Vec<u128>, Vec<u16>) {
+    blocks.sort_unstable();
+    let mut ranges: Vec<(u128, u16)> = vec![(0, u16::MAX)];
+    let mut open: Vec<(u128, u16)> = Vec::new();
+    let mut push = |start, site| {
+        if ranges.last().is_some_and(|last| last.0 == start) {
+            ranges.pop();
+        }
+        if ranges.last().is_none_or(|last| last.1 != site) {
+            ranges.push((start, site));
+        }
+    };
+    for (low, len, site) in blocks {
+        while let Some((last, _)) = open.pop_if(|(last, _)| *last < low) {
+            push(last + 1, open.last().map_or(u16::MAX, |&(_, site)| site));
+        }
+        push(low, site);
+        open.push((low | u128::MAX.checked_shr(len.into()).unwrap_or(0), site));
+    }
+    while let Some((last, _)) = open.pop() {
+        if let Some(after) = last.checked_add(1) {
+            push(after, open.last().map_or(u16::MAX, |&(_, site)| site));
+        }
+    }
+    ranges.into_iter().unzip()
+}
+
+/// Times both layouts in turns on one core and takes the median of five passes each.
+fn compare(table: &BlockTable, flat: &Flat, addrs: &[IpAddr]) -> Value {
+    for &addr in &addrs[..10_000] {
+        assert_eq!(table.lookup(addr), flat.lookup(addr), "{addr}");
+    }
+    let mut paged_rates = Vec::new();
+    let mut flat_rates = Vec::new();
+    for _ in 0..5 {
+        paged_rates.push(rate(addrs, |addr| table.lookup(addr)));
+        flat_rates.push(rate(addrs, |addr| flat.lookup(addr)));
+    }
+    let (paged, flat_rate) = (median(paged_rates), median(flat_rates));
+    json!({
+        "paged_per_s": paged,
+        "flat_per_s": flat_rate,
+        "paged_over_flat": paged / flat_rate,
+        "flat_heap_bytes": flat.heap_bytes(),
+    })
+}
+
+fn rate(addrs: &[IpAddr], lookup: impl Fn(IpAddr) -> Option<SiteId>) -> f64 {
+    let started = Instant::now();
+    for &addr in addrs {
+        black_box(lookup(addr));
+    }
+    addrs.len() as f64 / started.elapsed().as_secs_f64()
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+/// Makes a delta of which four fifths change a site and the rest remove a block.
+fn make_delta(base: Version, entries: &[BlockEntry], count: usize, rng: &mut StdRng) -> BlockDelta {
+    let mut chosen: Vec<usize> = rand::seq::index::sample(rng, entries.len(), count).into_vec();
+    chosen.shuffle(rng);
+    let (removed, set) = chosen.split_at(count / 5);
+    let set = set.iter().map(|&index| {
+        let site = SiteId((entries[index].site.0 + 1) % SITES);
+        BlockEntry {
+            site,
+            ..entries[index]
+        }
+    });
+    BlockDelta {
+        base,
+        version: Version(base.0 + 1),
+        set: set.collect(),
+        removed: removed.iter().map(|&index| entries[index].prefix).collect(),
+    }
+}
+
+fn delta(table: &BlockTable, entries: &[BlockEntry], count: usize, rng: &mut StdRng) -> Value {
+    let delta = make_delta(table.version(), entries, count, rng);
+    let parts = delta.encode().expect("valid entries");
+    let bytes: usize = parts.iter().map(|part| part.bytes().len()).sum();
+    let mut apply = Vec::new();
+    let mut decode = Vec::new();
+    let mut free = Vec::new();
+    for _ in 0..9 {
+        let started = Instant::now();
+        black_box(BlockDelta::decode(&parts).expect("valid parts"));
+        decode.push(started.elapsed().as_secs_f64() * 1e6);
+        let started = Instant::now();
+        let new = table.apply(&delta).expect("a matching delta");
+        apply.push(started.elapsed().as_secs_f64() * 1e6);
+        let started = Instant::now();
+        drop(new);
+        free.push(started.elapsed().as_secs_f64() * 1e6);
+    }
+    json!({
+        "entries": count,
+        "encoded_bytes": bytes,
+        "receive_s_at_11_kb_s": bytes as f64 / 11_000.0,
+        "decode_us": median(decode),
+        "apply_us": median(apply),
+        "free_us": median(free),
+    })
+}
+
+fn copy(table: &BlockTable) -> Value {
+    let started = Instant::now();
+    let encoded = table.encode();
+    let encode = started.elapsed();
+    let longest = encoded.chunks.iter().map(|chunk| chunk.bytes().len()).max();
+    let (seconds, spent, assemble) = fetch(&encoded, &[1, 2, 3], None);
+    let (vanish_seconds, vanish_spent, _) = fetch(&encoded, &[1, 2, 3], Some(PeerId(2)));
+    json!({
+        "chunks": encoded.chunks.len(),
+        "longest_chunk_bytes": longest,
+        "chunk_bytes": encoded.manifest.total_bytes(),
+        "bytes_per_block": encoded.manifest.total_bytes() as f64 / table.entry_count() as f64,
+        "manifest_bytes": encoded.manifest.encode().len(),
+        "encode_s": encode.as_secs_f64(),
+        "assemble_s": assemble.as_secs_f64(),
+        "fetch_s_at_11_kb_s": seconds,
+        "fetch_spent_bytes": spent,
+        "fetch_s_when_a_peer_vanishes": vanish_seconds,
+        "fetch_spent_bytes_when_a_peer_vanishes": vanish_spent,
+    })
+}
+
+/// Runs a fetch plan against simulated time. Peer `vanishing` falls silent after a third of the
+/// bytes. Returns the simulated seconds, the bytes spent, and the real time to assemble.
+fn fetch(encoded: &EncodedTable, peers: &[u32], vanishing: Option<PeerId>) -> (f64, u64, Duration) {
+    let config = FetchConfig::default();
+    let overhead = u64::from(config.overhead_bytes);
+    let mut plan = FetchPlan::new(&encoded.manifest, config);
+    peers.iter().for_each(|&peer| plan.add_peer(PeerId(peer)));
+    let mut partial = PartialTable::new(encoded.manifest.clone());
+    let mut now = Duration::ZERO;
+    let mut spent = 0;
+    let mut assemble = Duration::ZERO;
+    let mut replies: Vec<(Duration, filbertgrade_blocks::PieceRequest)> = Vec::new();
+    loop {
+        if let Some(index) = replies.iter().position(|(at, _)| *at <= now) {
+            let (_, request) = replies.remove(index);
+            let start = request.offset as usize;
+            let bytes = &encoded.chunks[request.index].as_ref()[start..][..request.len as usize];
+            let received = plan.received(request.peer, request.index, request.offset, bytes);
+            if let Received::Chunk { index, bytes } = received {
+                let started = Instant::now();
+                partial.insert(index, &bytes).expect("a valid chunk");
+                assemble += started.elapsed();
+            }
+            continue;
+        }
+        match plan.next(now) {
+            FetchStep::Request(request) => {
+                spent += u64::from(request.len) + overhead;
+                let gone = spent > encoded.manifest.total_bytes() / 3;
+                if vanishing != Some(request.peer) || !gone {
+                    // The reply takes as long as its bytes do at the budgeted rate.
+                    let transfer = Duration::from_secs_f64(f64::from(request.len) / 11_000.0);
+                    replies.push((now + ROUND_TRIP + transfer, request));
+                }
+            }
+            FetchStep::Wait { until } => {
+                now = replies
+                    .iter()
+                    .map(|(at, _)| *at)
+                    .chain([until])
+                    .min()
+                    .unwrap_or(until);
+            }
+            FetchStep::NoPeers => panic!("peers that answer remain"),
+            FetchStep::Done => break,
+        }
+    }
+    let started = Instant::now();
+    drop(
+        partial
+            .finish()
+            .expect("a matching count")
+            .expect("every chunk"),
+    );
+    (now.as_secs_f64(), spent, assemble + started.elapsed())
+}
+
+/// Returns the encoded size when sites do not depend on the place of a block.
+fn scattered_sites(entries: &[BlockEntry], rng: &mut StdRng) -> u64 {
+    let scattered: Vec<BlockEntry> = entries
+        .iter()
+        .map(|entry| BlockEntry {
+            site: SiteId(rng.random_range(0..SITES)),
+            ..*entry
+        })
+        .collect();
+    let table = BlockTable::build(Version(1), &scattered).expect("valid entries");
+    table.encode().manifest.total_bytes()
+}
+
+/// Compares the latency of single look-ups without and with swaps, alternating between phases.
+fn swap(table: &BlockTable, entries: &[BlockEntry], addrs: &[IpAddr], rng: &mut StdRng) -> Value {
+    let shared = SharedBlockTable::new(table.clone());
+    let mut quiet = Histogram::new(3).expect("valid precision");
+    let mut busy = Histogram::new(3).expect("valid precision");
+    let mut swaps = 0;
+    for _ in 0..2 {
+        quiet
+            .add(read_under_load(&shared, addrs, || {
+                thread::sleep(SWAP_PHASE);
+            }))
+            .expect("equal bounds");
+        busy.add(read_under_load(&shared, addrs, || {
+            let started = Instant::now();
+            while started.elapsed() < SWAP_PHASE {
+                let present = shared.load().version();
+                let mut delta = make_delta(present, entries, 100, rng);
+                // A block that an earlier delta removed cannot be removed again.
+                delta.removed.clear();
+                drop(shared.apply(&delta).expect("a matching delta"));
+                swaps += 1;
+                thread::sleep(SWAP_INTERVAL);
+            }
+        }))
+        .expect("equal bounds");
+    }
+    let quantiles = |histogram: &Histogram<u64>| {
+        json!({
+            "p50_ns": histogram.value_at_quantile(0.50),
+            "p99_ns": histogram.value_at_quantile(0.99),
+            "p999_ns": histogram.value_at_quantile(0.999),
+            "max_ns": histogram.max(),
+        })
+    };
+    let ratio = |q| busy.value_at_quantile(q) as f64 / quiet.value_at_quantile(q) as f64;
+    json!({
+        "readers": READERS,
+        "swaps": swaps,
+        "quiet": quantiles(&quiet),
+        "swapping": quantiles(&busy),
+        "p99_ratio": ratio(0.99),
+        "p999_ratio": ratio(0.999),
+    })
+}
+
+/// Times every look-up of several readers while `work` runs.
+fn read_under_load(
+    shared: &SharedBlockTable,
+    addrs: &[IpAddr],
+    work: impl FnOnce(),
+) -> Histogram<u64> {
+    let stop = Arc::new(AtomicBool::new(false));
+    thread::scope(|scope| {
+        let readers: Vec<_> = (0..READERS)
+            .map(|reader| {
+                let stop = Arc::clone(&stop);
+                scope.spawn(move || {
+                    let mut histogram = Histogram::new(3).expect("valid precision");
+                    for &addr in addrs.iter().cycle().skip(reader * 1_000) {
+                        if stop.load(Ordering::Relaxed) {
+                            break;
+                        }
+                        let started = Instant::now();
+                        black_box(shared.lookup(addr));
+                        let ns = started.elapsed().as_nanos() as u64;
+                        histogram.record(ns).expect("a resizable histogram");
+                    }
+                    histogram
+                })
+            })
+            .collect();
+        work();
+        stop.store(true, Ordering::Relaxed);
+        let mut all = Histogram::new(3).expect("valid precision");
+        for reader in readers {
+            all.add(reader.join().expect("a reader that ends"))
+                .expect("equal bounds");
+        }
+        all
+    })
+}
