--- a/crates/filbertgrade-standins/src/caller/load.rs
+++ b/crates/filbertgrade-standins/src/caller/load.rs
@@ -1,5 +1,6 @@
 //! Open-loop load of several teams.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -89,6 +90,10 @@
     pub burst: u32,
     /// Kinds of requests. Default none; the caller has to set at least one.
     pub mix: Vec<Kind>,
+    /// Client addresses of the team's callers, each with look-ups and connections of its own;
+    /// requests are spread over them at random. Default none, which means one caller with the
+    /// address in [`LoadConfig::caller`].
+    pub clients: Vec<IpAddr>,
     /// Rate and burst that the system grants the team. Default none, which means that the report
     /// does not judge rates.
     pub limit: Option<Limit>,
@@ -104,6 +109,7 @@
             rate,
             burst: 1,
             mix,
+            clients: Vec::new(),
             limit: None,
         }
     }
@@ -202,11 +208,7 @@
 ) -> (String, Vec<CallRecord>, u64) {
     let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(index);
     let mut rng = StdRng::seed_from_u64(seed);
-    let caller = Caller::new(CallerConfig {
-        key: team.key.clone(),
-        seed,
-        ..cfg.caller.clone()
-    });
+    let callers = callers(&cfg, &team, seed);
     let bodies = Bodies::new(&team.mix, &mut rng);
     let mut calls = JoinSet::new();
     let mut records = Vec::new();
@@ -229,7 +231,8 @@
             }
             let request_id = format!("{}-{}-{number}", team.name, cfg.seed);
             let request = request(&team.mix, request_id, cfg.deadline, &bodies, &mut rng);
-            calls.spawn(call(caller.clone(), team.name.clone(), request, began + at));
+            let caller = callers[rng.random_range(0..callers.len())].clone();
+            calls.spawn(call(caller, team.name.clone(), request, began + at));
         }
     }
     while let Some(finished) = calls.join_next().await {
@@ -238,6 +241,22 @@
     (team.name, records, skipped)
 }
 
+fn callers(cfg: &LoadConfig, team: &TeamLoad, seed: u64) -> Vec<Caller> {
+    let caller = |(client_ip, seed)| {
+        Caller::new(CallerConfig {
+            key: team.key.clone(),
+            client_ip,
+            seed,
+            ..cfg.caller.clone()
+        })
+    };
+    let mut clients = team.clients.clone();
+    if clients.is_empty() {
+        clients.push(cfg.caller.client_ip);
+    }
+    clients.into_iter().zip(seed..).map(caller).collect()
+}
+
 async fn call(caller: Caller, team: String, request: CallRequest, due: Instant) -> CallRecord {
     let sent = std::time::Instant::now();
     let result = caller.call(&request).await;
--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -7,8 +7,8 @@
 use filbertgrade::process::{agent, command, entry};
 
 fn main() -> ExitCode {
-    init_logs();
     let flags = Filbertgrade::from_env_or_exit();
+    init_logs(&flags.subcommand);
     match run(flags) {
         Ok(code) => code,
         Err(error) => {
@@ -29,6 +29,7 @@
             FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
             FilbertgradeCmd::Check(flags) => return Ok(command::check(&flags.file)?),
             FilbertgradeCmd::Apply(flags) => command::apply(&flags.file, flags.store).await?,
+            FilbertgradeCmd::Dev(flags) => command::dev(&flags).await?,
             FilbertgradeCmd::Key(flags) => command::key(flags).await?,
         }
         Ok(ExitCode::SUCCESS)
@@ -36,9 +37,15 @@
 }
 
 /// One line for each event: time, level, module, then `event=` and its fields.
-fn init_logs() {
+///
+/// Daemons log at level info by default, commands only failures.
+fn init_logs(command: &FilbertgradeCmd) {
     use std::io::Write;
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+    let level = match command {
+        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) => "info",
+        _ => "error",
+    };
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
         .format(|out, record| {
             writeln!(
                 out,
--- a/crates/filbertgrade/src/process/command/apply.rs
+++ b/crates/filbertgrade/src/process/command/apply.rs
@@ -52,7 +52,7 @@
     Ok(())
 }
 
-async fn apply_text(platform: &dyn Platform, text: &str) -> Result<u64, ApplyError> {
+pub(crate) async fn apply_text(platform: &dyn Platform, text: &str) -> Result<u64, ApplyError> {
     let current = platform.get(CONFIG_ROOT).await?;
     let (condition, version) = match &current {
         None => (Condition::Absent, 0),
--- /dev/null
+++ b/crates/filbertgrade/src/process/command/dev/report.rs
@@ -0,0 +1,206 @@
+//! What users measure, as JSON or as a short table.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use filbertgrade_coord::names::RegionName;
+use filbertgrade_standins::backend::BackendRecords;
+use filbertgrade_standins::caller::LoadReport;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+/// Time by which the ways of two requests from admission to the backend server
+/// may differ: the wait for a slot of the own region and the way to another.
+const JITTER: Duration = Duration::from_millis(250);
+
+/// Figures of one run. All counts come from the stand-in callers and backend
+/// servers.
+#[derive(Debug, Serialize)]
+pub(super) struct DevReport {
+    requests: u64,
+    lost: u64,
+    cut: u64,
+    repeated: u64,
+    wrong_answer: u64,
+    wrong_team: u64,
+    ran_after_not_run: u64,
+    key_seen_by_backend: u64,
+    over_rate: u64,
+    over_slots: u64,
+    over_connections: u64,
+    refused_within_rate: u64,
+    refused_over_rate: u64,
+    refused: IndexMap<String, u64>,
+    latency_ms: LatencyMs,
+    added_latency_ms: AddedLatencyMs,
+    worst_team: WorstTeam,
+    headroom: IndexMap<String, f64>,
+    drain_seconds: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct LatencyMs {
+    p50: f64,
+    p99: f64,
+    p999: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct AddedLatencyMs {
+    p50: f64,
+    p99: f64,
+}
+
+/// The team with the lowest served fraction of what its rate allows.
+#[derive(Debug, Default, Serialize)]
+struct WorstTeam {
+    name: String,
+    served_fraction: f64,
+    p99_ms: f64,
+}
+
+/// Least free fraction of each region's slots.
+#[derive(Debug, Default)]
+pub(super) struct Headroom {
+    least: IndexMap<String, f64>,
+}
+
+impl Headroom {
+    pub(super) fn sample(&mut self, region: &RegionName, free: f64) {
+        let least = self.least.entry(region.to_string()).or_insert(1.0);
+        *least = least.min(free);
+    }
+}
+
+impl DevReport {
+    pub(super) fn new(
+        load: &LoadReport,
+        direct: &LoadReport,
+        records: &[BackendRecords],
+        headroom: Headroom,
+        drain: Duration,
+    ) -> Self {
+        let joined = load.join(records, JITTER);
+        let latency = load.latency_us();
+        let direct = direct.latency_us();
+        let ms = |us: u64| us as f64 / 1000.0;
+        let at = |quantile: f64| ms(latency.value_at_quantile(quantile));
+        let added = |quantile: f64| at(quantile) - ms(direct.value_at_quantile(quantile));
+        let teams = load.teams.values();
+        let mut refused: IndexMap<String, u64> = IndexMap::new();
+        for (cause, count) in teams.clone().flat_map(|team| &team.refused) {
+            *refused.entry(cause.clone()).or_default() += count;
+        }
+        Self {
+            requests: teams.clone().map(|team| team.sent).sum(),
+            lost: load.lost,
+            cut: load.cut,
+            repeated: joined.repeated,
+            wrong_answer: load.wrong_answer,
+            wrong_team: joined.wrong_team,
+            ran_after_not_run: joined.ran_after_not_run,
+            key_seen_by_backend: joined.key_seen_by_backend,
+            over_rate: joined.over_rate,
+            over_slots: joined.over_slots,
+            over_connections: records.iter().map(|r| r.connections_over_limit).sum(),
+            refused_within_rate: teams.clone().map(|team| team.refused_within_rate).sum(),
+            refused_over_rate: teams.map(|team| team.refused_over_rate).sum(),
+            refused,
+            latency_ms: LatencyMs {
+                p50: at(0.5),
+                p99: at(0.99),
+                p999: at(0.999),
+            },
+            added_latency_ms: AddedLatencyMs {
+                p50: added(0.5),
+                p99: added(0.99),
+            },
+            worst_team: WorstTeam::of(load),
+            headroom: headroom.least,
+            drain_seconds: drain.as_secs_f64(),
+        }
+    }
+
+    pub(super) fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    pub(super) fn to_table(&self) -> String {
+        let mut table = String::new();
+        let mut row = |name: &str, value: String| {
+            let _ = writeln!(table, "{name:<24} {value}");
+        };
+        row("requests", self.requests.to_string());
+        row(
+            "lost / cut / wrong",
+            format!("{} / {} / {}", self.lost, self.cut, self.wrong_answer),
+        );
+        row("repeated", self.repeated.to_string());
+        row("keys seen by servers", self.key_seen_by_backend.to_string());
+        row(
+            "over rate / slots",
+            format!("{} / {}", self.over_rate, self.over_slots),
+        );
+        row(
+            "refused within / over",
+            format!("{} / {}", self.refused_within_rate, self.refused_over_rate),
+        );
+        row(
+            "latency p50 p99 p999",
+            format!(
+                "{:.1} {:.1} {:.1} ms",
+                self.latency_ms.p50, self.latency_ms.p99, self.latency_ms.p999
+            ),
+        );
+        row(
+            "added p50 p99",
+            format!(
+                "{:.1} {:.1} ms",
+                self.added_latency_ms.p50, self.added_latency_ms.p99
+            ),
+        );
+        row(
+            "worst team",
+            format!(
+                "{} {:.1}% served, p99 {:.1} ms",
+                self.worst_team.name,
+                self.worst_team.served_fraction * 100.0,
+                self.worst_team.p99_ms
+            ),
+        );
+        for (region, least) in &self.headroom {
+            row(
+                &format!("headroom {region}"),
+                format!("{:.0}%", least * 100.0),
+            );
+        }
+        row("drain", format!("{:.2} s", self.drain_seconds));
+        table
+    }
+}
+
+impl WorstTeam {
+    /// Refusals over a team's rate are its own doing and do not count.
+    fn of(load: &LoadReport) -> Self {
+        load.teams
+            .iter()
+            .map(|(name, team)| {
+                let due = team.sent - team.refused_over_rate;
+                let served_fraction = if due == 0 {
+                    1.0
+                } else {
+                    team.served as f64 / due as f64
+                };
+                Self {
+                    name: name.clone(),
+                    served_fraction,
+                    p99_ms: team.latency_ms(0.99),
+                }
+            })
+            .min_by(|a, b| {
+                let by_fraction = a.served_fraction.total_cmp(&b.served_fraction);
+                by_fraction.then(b.p99_ms.total_cmp(&a.p99_ms))
+            })
+            .unwrap_or_default()
+    }
+}
--- a/crates/filbertgrade/src/process/command/flags.rs
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -71,6 +71,21 @@
             /// Address of the platform's object API.
             required --store store: SocketAddr
         }
+        /// Runs a whole deployment in one process on loopback, for trying out.
+        cmd dev {
+            /// Configuration file.
+            required file: PathBuf
+            /// Length of the run in seconds; default 10.
+            optional --seconds seconds: u64
+            /// Prints one JSON object.
+            optional --json
+            /// Seed of the traffic; default 1.
+            optional --seed seed: u64
+            /// Number of VMs; default 10.
+            optional --vms vms: usize
+            /// Fraction of their rates that teams send; default 0.6.
+            optional --load load: f64
+        }
         /// Grants, withdraws and lists keys.
         cmd key {
             /// Address of the platform's object API.
