--- a/crates/filbertgrade-standins/src/backend.rs
+++ b/crates/filbertgrade-standins/src/backend.rs
@@ -45,7 +45,7 @@
 
 use crate::answer::Answer;
 pub use crate::answer::{DEFAULT_ANSWER_BYTES, expected_answer};
-use crate::common::{lock, query_value};
+use crate::common::{lock, query_value, sleep_until};
 
 /// Size in bytes of each part of a streamed answer.
 const FRAME_BYTES: usize = 16 * 1024;
@@ -696,7 +696,8 @@
         return std::future::pending().await;
     }
     let time = shared.service_time(parts.uri.query());
-    tokio::time::sleep(deadline.map_or(time, |left| left.min(time))).await;
+    let time_to_end = deadline.map_or(time, |left| left.min(time));
+    sleep_until(tokio::time::Instant::now() + time_to_end).await;
     if deadline.is_some_and(|left| left < time) {
         return slot.deadline_exceeded();
     }
--- a/crates/filbertgrade-standins/src/common.rs
+++ b/crates/filbertgrade-standins/src/common.rs
@@ -2,12 +2,22 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use tokio::time::Instant;
+
 /// Locks `mutex` and ignores poisoning, so that one failed test assertion does not hide the
 /// records behind a second panic.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Sleeps until `due`, and not at all if it has passed. The timer rounds up to whole milliseconds,
+/// which would add up to 1 ms to each part of a stream without a delay.
+pub(crate) async fn sleep_until(due: Instant) {
+    if due > Instant::now() {
+        tokio::time::sleep_until(due).await;
+    }
+}
+
 /// Decodes `%XX` escapes. A malformed escape is kept as it is.
 pub(crate) fn percent_decode(text: &str) -> String {
     let bytes = text.as_bytes();
--- a/crates/filbertgrade-standins/src/proxy.rs
+++ b/crates/filbertgrade-standins/src/proxy.rs
@@ -4,6 +4,7 @@
 //! 16 KiB, paced by the bandwidth limit, and written after the delay. Up to 4 MiB are in flight in
 //! a pipe; then the sender meets back-pressure. Connections are accepted at once even under a
 //! fault, because the kernel completes the handshake; a delay applies to data and to its end.
+//! Delays are rounded up to whole milliseconds.
 //!
 //! The proxy connects onward from the source IP address of the caller if both the caller and the
 //! target have IPv4 loopback addresses, so the target sees who called.
@@ -23,7 +24,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::common::lock;
+use crate::common::{lock, sleep_until};
 
 /// Largest part in bytes that is read, paced and written at once.
 const PART_BYTES: usize = 16 * 1024;
@@ -507,7 +508,7 @@
         // direction passes on how the other side ended.
         let mut broken = false;
         while let Some((due, item)) = rx.recv().await {
-            tokio::time::sleep_until(due).await;
+            sleep_until(due).await;
             let Some(rule) = self.released().await else {
                 continue;
             };
@@ -596,7 +597,7 @@
         };
         let last = !matches!(item, Item::Data(_));
         if let (Item::Data(data), Some(bandwidth)) = (&item, &fault.bandwidth) {
-            tokio::time::sleep_until(bandwidth.reserve(data.len())).await;
+            sleep_until(bandwidth.reserve(data.len())).await;
         }
         if tx.send((Instant::now() + fault.delay, item)).await.is_err() || last {
             return;
