Add admitted_by_team for windows over several loads

One report knows only its own calls, so the windows of a team that sends through several loads could not be checked. The function reads the team from the x-team header of the back ends' records instead.

--- a/crates/filbertgrade-standins/src/caller/mod.rs
+++ b/crates/filbertgrade-standins/src/caller/mod.rs
@@ -27,7 +27,9 @@
 
 use self::connection::{Pool, SendFailure};
 pub use self::load::{Kind, Load, LoadConfig, TeamLoad};
-pub use self::report::{CallRecord, Joined, Limit, LoadReport, TeamReport, over_rate};
+pub use self::report::{
+    CallRecord, Joined, Limit, LoadReport, TeamReport, admitted_by_team, over_rate,
+};
 use crate::backend::{DEFAULT_ANSWER_BYTES, expected_answer};
 use crate::common::lock;
 
--- a/crates/filbertgrade-standins/src/caller/report.rs
+++ b/crates/filbertgrade-standins/src/caller/report.rs
@@ -34,7 +34,8 @@
     pub idempotent: bool,
     /// Time when the call began.
     pub sent: Instant,
-    /// Time from the planned sending to the end of the call.
+    /// Time from the planned sending to the end of the call. The timer of the load starts calls up
+    /// to 1 ms late, which is included.
     pub latency: Duration,
     /// How the call ended.
     pub outcome: Outcome,
@@ -292,6 +293,26 @@
     }
 }
 
+/// Returns the first arrival of each request that ran, by the value of `x-team`, for windows over
+/// several loads. Runs without the header are left out.
+#[must_use]
+pub fn admitted_by_team(backends: &[BackendRecords]) -> BTreeMap<String, Vec<Instant>> {
+    let mut first: HashMap<&str, &Run> = HashMap::new();
+    for run in backends.iter().flat_map(|records| &records.runs) {
+        let known = first.entry(run.request_id.as_str()).or_insert(run);
+        if run.arrived < known.arrived {
+            *known = run;
+        }
+    }
+    let mut teams: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
+    for run in first.values() {
+        if let Some(team) = &run.team {
+            teams.entry(team.clone()).or_default().push(run.arrived);
+        }
+    }
+    teams
+}
+
 /// Returns the smallest number of requests without which every window holds at most
 /// burst + rate x length. `jitter` lengthens every window by the time by which the observed times
 /// may be off from each other. `times` need not be in order.
--- a/crates/filbertgrade-standins/tests/caller.rs
+++ b/crates/filbertgrade-standins/tests/caller.rs
@@ -14,7 +14,7 @@
 };
 use filbertgrade_standins::caller::{
     CallRecord, CallRequest, Caller, CallerConfig, Joined, Key, Kind, Limit, Load, LoadConfig,
-    LoadReport, Outcome, Route, TeamLoad, over_rate,
+    LoadReport, Outcome, Route, TeamLoad, admitted_by_team, over_rate,
 };
 use http::{Method, Request, Response};
 use http_body_util::Full;
@@ -278,7 +278,10 @@
         served_without_run: 1,
         wrong_team: 1,
     };
-    assert_eq!(report.join(&[first, second], Duration::ZERO), expected);
+    let records = [first, second];
+    assert_eq!(report.join(&records, Duration::ZERO), expected);
+    let admitted = admitted_by_team(&records);
+    assert_eq!((admitted["orders"].len(), admitted["charts"].len()), (4, 1));
 }
 
 /// Guards against a load that misses its rate, its mix or its seed, and against a report that does
