Test the remaining modules, and keep the turn of waiting requests

A new request took a slot that a ramp had opened before expire() gave it to those who waited; acquire() now queues it behind them. When the last endpoint drains, expire() refuses waiting requests at once instead of at their deadlines, so callers can try another region.

--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -167,7 +167,8 @@
 pub struct Expired {
     /// Permits whose lease ended.
     pub permits: Vec<PermitId>,
-    /// Waiting requests whose deadline passed; they were not run.
+    /// Waiting requests whose deadline passed, or for which no endpoint is
+    /// left; they were not run.
     pub refused: Vec<(Ticket, SlotRequest, SlotRefusal)>,
     /// Waiting requests that have a slot now.
     pub granted: Vec<LateGrant>,
@@ -266,6 +267,9 @@
     }
 
     /// Starts or ends the drain of an endpoint. A draining endpoint gets nothing new.
+    ///
+    /// If it was the last one, the next [`SlotBook::expire`] refuses all
+    /// waiting requests.
     pub fn set_draining(
         &mut self,
         now: Instant,
@@ -294,15 +298,15 @@
 
     /// Grants a slot, queues the request, or refuses it.
     pub fn acquire(&mut self, now: Instant, request: SlotRequest) -> Acquire {
-        if self.endpoints.values().all(|e| e.draining || e.slots == 0) {
+        if self.is_closed() {
             return Acquire::Refused(SlotRefusal::NoEndpoint);
         }
         if request.deadline <= now {
             return Acquire::Refused(SlotRefusal::Deadline);
         }
-        // A free slot goes past the queue only if all waiting requests are
-        // kept from it by the local reserve, which `serve` has settled.
-        if let Some(endpoint) = self.pick(now, request.origin) {
+        if let Some(endpoint) = self.pick(now, request.origin)
+            && !self.is_anyone_ahead(now)
+        {
             return Acquire::Granted(self.grant(now, endpoint));
         }
         let waiting = self.waiting();
@@ -377,13 +381,18 @@
             self.end(*permit);
         }
         let mut refused = Vec::new();
+        let closed = self.is_closed();
         for queue in self.queues.values_mut() {
             queue.retain(|w| {
-                let late = w.request.deadline <= now;
-                if late {
-                    refused.push((w.ticket, w.request.clone(), SlotRefusal::Deadline));
-                }
-                !late
+                let cause = if w.request.deadline <= now {
+                    SlotRefusal::Deadline
+                } else if closed {
+                    SlotRefusal::NoEndpoint
+                } else {
+                    return true;
+                };
+                refused.push((w.ticket, w.request.clone(), cause));
+                false
             });
         }
         self.queues.retain(|_, queue| !queue.is_empty());
@@ -430,10 +439,30 @@
         }
     }
 
+    /// Reports whether no endpoint takes new requests.
+    fn is_closed(&self) -> bool {
+        self.endpoints.values().all(|e| e.draining || e.slots == 0)
+    }
+
     fn waiting(&self) -> usize {
         self.queues.values().map(VecDeque::len).sum()
     }
 
+    /// Reports whether a waiting request could have a free slot.
+    ///
+    /// Slots that a ramp opened are given out by [`SlotBook::expire`], and a
+    /// new request must not take them before that.
+    fn is_anyone_ahead(&self, now: Instant) -> bool {
+        if self.queues.is_empty() {
+            return false;
+        }
+        let remote = self.pick(now, Origin::Remote).is_some();
+        self.queues
+            .values()
+            .flatten()
+            .any(|w| w.request.deadline > now && (remote || w.request.origin == Origin::Local))
+    }
+
     /// Gives free slots to waiting requests, one team after the other.
     fn serve(&mut self, now: Instant) -> Vec<LateGrant> {
         let mut granted = Vec::new();
--- /dev/null
+++ b/crates/filbertgrade-coord/tests/basics.rs
@@ -0,0 +1,192 @@
+//! Tests of names, token bucket, rendezvous hashing and dissemination.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::bucket::{Part, TokenBucket};
+use filbertgrade_coord::dissemination::{
+    Member, POLL_AFTER, StorePoll, is_relay, pull_peers, store_poll,
+};
+use filbertgrade_coord::names::{FailureDomainName, RegionName, TeamName, VmName};
+use filbertgrade_coord::rendezvous::{owner, top};
+use rstest::rstest;
+
+// Guards against names that break a header, a path or a log line.
+#[rstest]
+#[case("a", true)]
+#[case("gent-a-1", true)]
+#[case(&"x".repeat(63), true)]
+#[case(&"x".repeat(64), false)]
+#[case("", false)]
+#[case("Gent", false)]
+#[case("a/b", false)]
+#[case("a b", false)]
+#[case("é", false)]
+fn names_are_checked(#[case] name: &str, #[case] valid: bool) {
+    assert_eq!(TeamName::try_from(name).is_ok(), valid);
+    assert_eq!(name.parse::<VmName>().is_ok(), valid);
+}
+
+// Guards against parts that poison every sum they enter.
+#[rstest]
+#[case(-1.0, 1.0)]
+#[case(1.0, f64::NAN)]
+#[case(f64::INFINITY, 1.0)]
+fn parts_are_checked(#[case] rate: f64, #[case] burst: f64) {
+    assert!(Part::new(rate, burst).is_err());
+}
+
+// Guards against initial tokens, tokens over the burst, and a clock that goes back.
+#[test]
+fn bucket_starts_empty_and_fills_to_its_burst() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(Part::new(10.0, 3.0).unwrap(), start);
+    assert!(!bucket.try_take(start));
+    assert_eq!(
+        bucket.time_until(2, start),
+        Some(Duration::from_millis(200))
+    );
+    let later = start + Duration::from_secs(60);
+    assert_eq!((0..5).filter(|_| bucket.try_take(later)).count(), 3);
+    bucket.refill(start);
+    assert!(!bucket.try_take(later));
+}
+
+// Guards against tokens that outlive the capacity they came with.
+#[test]
+fn bucket_keeps_tokens_within_a_smaller_burst() {
+    let now = Instant::now();
+    let mut bucket = TokenBucket::new(Part::new(1.0, 2.0).unwrap(), now);
+    let part = Part::new(5.0, 4.0).unwrap();
+    bucket.add_part(part, 9.0, now);
+    assert_eq!(bucket.tokens(), 6.0);
+    bucket.remove_part(part, now);
+    assert_eq!(
+        (bucket.tokens(), bucket.part()),
+        (2.0, Part::new(1.0, 2.0).unwrap())
+    );
+    bucket.set_part(Part::new(0.0, 0.5).unwrap(), now);
+    assert_eq!((bucket.tokens(), bucket.time_until(1, now)), (0.5, None));
+}
+
+// Guards against owners that differ between builds: the values are fixed.
+#[test]
+fn rendezvous_is_stable() {
+    let nodes = ["a", "b", "c", "d"];
+    let owners = ["k1", "k2", "k3", "k4", "k5"].map(|k| owner(k, nodes).unwrap());
+    assert_eq!(owners, ["c", "d", "b", "d", "b"]);
+    assert_eq!(owner("k1", Vec::<&str>::new()), None);
+}
+
+// Guards against keys that move although their owner stayed, and uneven shares.
+#[test]
+fn rendezvous_moves_only_the_keys_of_a_lost_node() {
+    let nodes = ["a", "b", "c", "d"];
+    let mut owned = BTreeMap::new();
+    for key in (0..4_000).map(|i| format!("key-{i}")) {
+        let first = owner(&key, nodes).unwrap();
+        assert_eq!(top(&key, nodes, 2)[0], first);
+        let left = nodes.into_iter().filter(|n| *n != "a");
+        let next = owner(&key, left).unwrap();
+        let expected = if first == "a" {
+            top(&key, nodes, 2)[1]
+        } else {
+            first
+        };
+        assert_eq!(next, expected);
+        *owned.entry(first).or_insert(0) += 1;
+    }
+    assert!(
+        owned.values().all(|n| (850..1_150).contains(n)),
+        "{owned:?}"
+    );
+}
+
+fn fleet() -> Vec<Member> {
+    let member = |i: usize| Member {
+        vm: VmName::try_from(format!("vm-{i}").as_str()).unwrap(),
+        region: RegionName::try_from(format!("r-{}", i / 6).as_str()).unwrap(),
+        failure_domain: FailureDomainName::try_from(format!("d-{}", i / 3).as_str()).unwrap(),
+    };
+    (0..18).map(member).collect()
+}
+
+// Guards against domains with too few relays, or that all agents watch.
+#[test]
+fn each_failure_domain_has_two_relays() {
+    let fleet = fleet();
+    for domain in fleet.chunks(3) {
+        assert_eq!(domain.iter().filter(|m| is_relay(m, &fleet)).count(), 2);
+    }
+}
+
+// Guards against a puller that asks itself, one peer twice, or one place only.
+#[test]
+fn peers_come_from_domain_region_and_elsewhere() {
+    let fleet = fleet();
+    let find = |vm: &VmName| fleet.iter().find(|m| m.vm == *vm).unwrap();
+    let mut pulled: BTreeMap<VmName, u32> = BTreeMap::new();
+    for round in 0..600 {
+        let me = &fleet[0];
+        let peers = pull_peers(me, &fleet, round, 7);
+        let [a, b, c] = [0, 1, 2].map(|i| find(&peers[i]));
+        assert!(a.failure_domain == me.failure_domain && a.vm != me.vm);
+        assert!(b.region == me.region && b.failure_domain != me.failure_domain);
+        assert!(c.region != me.region);
+        for peer in peers {
+            *pulled.entry(peer).or_default() += 1;
+        }
+    }
+    assert_eq!(pulled.len(), 17, "some agents were never asked");
+    assert!(pulled.values().all(|n| *n >= 25), "{pulled:?}");
+}
+
+// Guards against fewer pulls in small fleets, such as one VM in each domain.
+#[rstest]
+#[case(1, 0)]
+#[case(2, 1)]
+#[case(3, 2)]
+#[case(5, 3)]
+fn small_fleets_use_any_peer(#[case] members: usize, #[case] peers: usize) {
+    let fleet = &fleet()[..members];
+    let mut chosen = pull_peers(&fleet[0], fleet, 1, 7);
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen.len(), peers);
+    assert!(!chosen.contains(&fleet[0].vm));
+}
+
+// Guards against polls in step, polls while confirmations come, and pauses without bound.
+#[test]
+fn store_polls_are_jittered_and_back_off() {
+    let now = Instant::now();
+    let polls: Vec<_> = (0..50)
+        .map(|seed| store_poll(now, None, seed, now))
+        .collect();
+    let at = |poll: &StorePoll| match poll {
+        StorePoll::At(at) => at.duration_since(now),
+        StorePoll::Now => Duration::ZERO,
+    };
+    assert!(
+        polls
+            .iter()
+            .all(|p| at(p) >= POLL_AFTER && at(p) <= POLL_AFTER + Duration::from_millis(500))
+    );
+    assert!(
+        polls
+            .iter()
+            .collect::<Vec<_>>()
+            .windows(2)
+            .any(|w| w[0] != w[1])
+    );
+    assert_eq!(
+        store_poll(now, None, 1, now + Duration::from_secs(3)),
+        StorePoll::Now
+    );
+    for n in 1..40 {
+        let pause = at(&store_poll(now, Some((now, n)), 1, now));
+        assert!(pause >= Duration::from_millis(500) && pause <= Duration::from_secs(8));
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade-coord/tests/state.rs
@@ -0,0 +1,306 @@
+//! Tests of the versioned map, freshness and the lease.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertgrade_coord::freshness::{Freshness, FreshnessTracker, IsolatedCause};
+use filbertgrade_coord::lease::{FencingToken, Lease, LeaseAction, LeaseConfig, LeaseRecord};
+use filbertgrade_coord::names::{RegionName, VmName};
+use filbertgrade_coord::versioned::{
+    Applied, Catchup, Change, Delta, Entry, Snapshot, VersionedMap,
+};
+use proptest::prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest};
+use rstest::rstest;
+
+fn delta(from: u64, to: u64, changes: &[(&str, u64, Option<u32>)]) -> Delta<u32> {
+    let change = |&(name, revision, value): &(&str, u64, Option<u32>)| Change {
+        name: Arc::from(name),
+        revision,
+        value,
+    };
+    Delta {
+        from,
+        to,
+        changes: changes.iter().map(change).collect(),
+    }
+}
+
+// Guards against a map that goes backward, skips a revision, or takes nonsense.
+#[test]
+fn versioned_map_never_goes_backward() {
+    let mut map = VersionedMap::new(10);
+    let gap = map.apply_delta(delta(3, 5, &[("a", 4, Some(1))]));
+    assert_eq!(gap, Ok(Applied::Gap { have: 0 }));
+    let first = delta(0, 5, &[("a", 2, Some(1)), ("b", 5, Some(2))]);
+    assert!(matches!(map.apply_delta(first), Ok(Applied::Advanced(names)) if names.len() == 2));
+    assert_eq!(
+        map.apply_delta(delta(0, 4, &[("a", 1, Some(9))])),
+        Ok(Applied::Stale)
+    );
+    let old = Snapshot {
+        revision: 4,
+        entries: vec![],
+    };
+    assert_eq!(map.apply_snapshot(old), Ok(Applied::Stale));
+    // An overlapping delta must not bring back the older value of a name.
+    let overlap = delta(1, 7, &[("a", 2, Some(8)), ("b", 7, None)]);
+    assert!(matches!(map.apply_delta(overlap), Ok(Applied::Advanced(names)) if names.len() == 1));
+    assert_eq!(
+        (map.get("a").unwrap().value, map.get("b"), map.revision()),
+        (1, None, 7)
+    );
+    assert!(map.apply_delta(delta(7, 9, &[("a", 10, Some(1))])).is_err());
+    assert!(map.apply_delta(delta(7, 9, &[("a", 7, Some(1))])).is_err());
+    let entry = Entry {
+        revision: 9,
+        value: 1,
+    };
+    let bad = Snapshot {
+        revision: 8,
+        entries: vec![(Arc::from("a"), entry)],
+    };
+    assert!(map.apply_snapshot(bad).is_err());
+    assert_eq!(map.revision(), 7);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
+
+    // Guards against a copy that differs from its source after any mix of
+    // deltas and snapshots, removals included, and against a log without bound.
+    #[test]
+    fn a_copy_equals_its_source(
+        writes in proptest::collection::vec((0..6u8, 0..4u32, 0..4u8), 1..80),
+        log_limit in 0..12usize,
+    ) {
+        let mut source = VersionedMap::new(log_limit);
+        let mut copy = VersionedMap::new(log_limit);
+        let mut model = BTreeMap::new();
+        for (name, value, pull) in writes {
+            let (name, revision) = (format!("n{name}"), source.revision());
+            let value = (value > 0).then_some(value);
+            match value {
+                Some(value) => model.insert(name.clone(), value),
+                None => model.remove(&name),
+            };
+            source.apply_delta(delta(revision, revision + 1, &[(&name, revision + 1, value)])).unwrap();
+            if pull > 0 {
+                continue;
+            }
+            match source.delta_since(copy.revision()) {
+                Catchup::Delta(delta) => {
+                    prop_assert!(delta.changes.len() <= log_limit);
+                    copy.apply_delta(delta).unwrap();
+                }
+                Catchup::SnapshotNeeded => {
+                    copy.apply_snapshot(source.snapshot()).unwrap();
+                }
+                Catchup::UpToDate => {}
+            }
+            let held: BTreeMap<String, u32> =
+                copy.iter().map(|(name, entry)| (name.to_string(), entry.value)).collect();
+            prop_assert_eq!(&held, &model);
+            prop_assert_eq!(copy.revision(), source.revision());
+        }
+    }
+}
+
+fn region(name: &str) -> RegionName {
+    RegionName::try_from(name).unwrap()
+}
+
+/// What an agent of region `a` that holds revision 5 concludes 20 s after the
+/// start, in milliseconds since the start.
+fn conclude(note: impl FnOnce(&mut FreshnessTracker, &dyn Fn(u64) -> Instant)) -> String {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut tracker = FreshnessTracker::new(region("a"));
+    note(&mut tracker, &at);
+    let live = BTreeSet::from(["a", "b", "c"].map(region));
+    match tracker.freshness(at(20_000), 5, &live) {
+        Freshness::Fresh { until } => format!("fresh {}", until.duration_since(start).as_millis()),
+        Freshness::StoreOutage { until } => {
+            format!("outage {}", until.duration_since(start).as_millis())
+        }
+        Freshness::Isolated(IsolatedCause::Behind) => "behind".to_owned(),
+        Freshness::Isolated(IsolatedCause::RegionSilent) => "silent".to_owned(),
+    }
+}
+
+/// Evidence from region: (name, confirmed at and revision, heard at, revision).
+type Word = (&'static str, Option<(u64, u64)>, u64, u64);
+
+// Guards against keys that work for longer than 5 s after their withdrawal,
+// and against refusals while nothing can have changed.
+#[rstest]
+#[case::own_confirmation(&[("a", Some((18_000, 5)), 18_000, 5)], "fresh 23000")]
+#[case::at_the_bound(&[("a", Some((15_000, 5)), 15_000, 5)], "fresh 20000")]
+#[case::other_region(&[("b", Some((19_000, 4)), 19_000, 4)], "fresh 24000")]
+#[case::too_old(&[("a", Some((14_999, 5)), 14_999, 5)], "silent")]
+#[case::outage(&[("a", Some((9_000, 5)), 9_000, 5), ("b", None, 16_000, 5), ("c", None, 19_000, 4)],
+    "outage 21000")]
+#[case::one_silent(&[("b", None, 16_000, 5), ("c", None, 14_000, 5)], "silent")]
+#[case::newer_held_elsewhere(&[("b", None, 19_000, 6), ("c", None, 19_000, 5)], "behind")]
+#[case::newer_confirmed(&[("b", Some((19_000, 6)), 19_000, 6), ("c", None, 19_000, 5)], "behind")]
+#[case::nothing(&[], "silent")]
+fn freshness_follows_the_evidence(#[case] words: &[Word], #[case] expected: &str) {
+    let direct = conclude(|tracker, at| {
+        for &(name, confirmed, heard, revision) in words {
+            let mut other = FreshnessTracker::new(region(name));
+            if let Some((millis, revision)) = confirmed {
+                other.confirm(at(millis), revision);
+            }
+            other.hear(at(heard), &region(name), revision);
+            // The own region counts as heard whenever it reports, so the
+            // report is dated back to its word.
+            let sent_at = at(heard);
+            tracker.absorb(sent_at, &other.ages(sent_at, revision));
+        }
+    });
+    assert_eq!(direct, expected);
+}
+
+// Guards against evidence that grows younger on its way through other agents.
+#[test]
+fn relayed_evidence_is_never_younger_than_its_source() {
+    let passed_on = conclude(|tracker, at| {
+        let mut first = FreshnessTracker::new(region("b"));
+        first.confirm(at(15_700), 5);
+        let mut second = FreshnessTracker::new(region("c"));
+        // The reply takes 300 ms, and its ages count from the send time.
+        second.absorb(at(16_000), &first.ages(at(16_300), 5));
+        tracker.absorb(at(17_000), &second.ages(at(17_300), 5));
+    });
+    // 15.7 s less two delays of 300 ms, plus 5 s.
+    assert_eq!(passed_on, "fresh 20100");
+}
+
+struct Store {
+    revision: u64,
+    record: Option<LeaseRecord>,
+}
+
+impl Store {
+    fn write(&mut self, action: &LeaseAction) -> Option<u64> {
+        let LeaseAction::Write { expected, record } = action else {
+            panic!("not a write: {action:?}");
+        };
+        if *expected != self.record.as_ref().map(|_| self.revision) {
+            return None;
+        }
+        let old = self.record.as_ref().map(|r| r.token);
+        assert!(Some(record.token) >= old, "the token went backward");
+        self.revision += 1;
+        self.record = Some(record.clone());
+        Some(self.revision)
+    }
+
+    fn read(&self) -> Option<(u64, LeaseRecord)> {
+        self.record.clone().map(|record| (self.revision, record))
+    }
+}
+
+fn candidate(name: &str) -> Lease {
+    Lease::new(VmName::try_from(name).unwrap(), 1, LeaseConfig::default())
+}
+
+// Guards against two holders at once, and against a paused holder that writes.
+#[test]
+fn a_paused_holder_is_replaced_and_fenced() {
+    let start = Instant::now();
+    let at = |secs| start + Duration::from_secs(secs);
+    let mut store = Store {
+        revision: 0,
+        record: None,
+    };
+    let (mut a, mut b) = (candidate("a"), candidate("b"));
+    assert_eq!(a.next(at(0)), LeaseAction::Read);
+    a.observe(at(0), store.read());
+    b.observe(at(0), store.read());
+    let (from_a, from_b) = (a.next(at(0)), b.next(at(0)));
+    a.written(at(1), store.write(&from_a).unwrap());
+    assert_eq!(store.write(&from_b), None);
+    b.conflicted();
+    let first = a.held(at(1)).unwrap();
+    // The validity counts from the send time at 0 s.
+    assert_eq!((a.held(at(6)), a.held(at(7))), (Some(first), None));
+    b.observe(at(1), store.read());
+    assert_eq!(b.next(at(10)), LeaseAction::Wait { until: at(11) });
+    let take_over = b.next(at(11));
+    b.written(at(11), store.write(&take_over).unwrap());
+    let second = b.held(at(11)).unwrap();
+    assert!(first < second && first.check(second).is_err() && second.check(first).is_ok());
+    // The paused holder wakes, does not hold the lease, and its write conflicts.
+    assert_eq!(a.held(at(12)), None);
+    let late = a.next(at(12));
+    assert_eq!(store.write(&late), None);
+    a.conflicted();
+    a.observe(at(12), store.read());
+    assert!(matches!(a.next(at(12)), LeaseAction::Wait { .. }));
+}
+
+// Guards against a holder that loses its lease because an answer was lost, and
+// against one that counts a write that did not take effect.
+#[rstest]
+#[case::took_effect(true)]
+#[case::did_not(false)]
+fn a_lost_answer_is_resolved_by_reading(#[case] took_effect: bool) {
+    let start = Instant::now();
+    let mut store = Store {
+        revision: 0,
+        record: None,
+    };
+    let mut a = candidate("a");
+    a.observe(start, store.read());
+    let action = a.next(start);
+    if took_effect {
+        store.write(&action).unwrap();
+    }
+    assert_eq!(a.next(start), LeaseAction::Read);
+    a.observe(start, store.read());
+    assert_eq!(a.held(start).is_some(), took_effect);
+}
+
+// Guards against a stopping holder that others must wait for.
+#[test]
+fn a_yielded_lease_is_free_at_once() {
+    let start = Instant::now();
+    let mut store = Store {
+        revision: 0,
+        record: None,
+    };
+    let (mut a, mut b) = (candidate("a"), candidate("b"));
+    a.observe(start, store.read());
+    let acquire = a.next(start);
+    a.written(start, store.write(&acquire).unwrap());
+    let give_up = a.yield_now(start).unwrap();
+    assert_eq!(a.held(start), None);
+    store.write(&give_up).unwrap();
+    b.observe(start, store.read());
+    let take = b.next(start);
+    b.written(start, store.write(&take).unwrap());
+    assert_eq!(b.held(start), Some(FencingToken::new(2)));
+}
+
+// Guards against a holder that lets its lease lapse, or grows its token in doing so.
+#[test]
+fn a_holder_renews_under_its_token() {
+    let start = Instant::now();
+    let at = |secs| start + Duration::from_secs(secs);
+    let mut store = Store {
+        revision: 0,
+        record: None,
+    };
+    let mut a = candidate("a");
+    a.observe(start, store.read());
+    for secs in 0..60 {
+        if let action @ LeaseAction::Write { .. } = a.next(at(secs)) {
+            a.written(at(secs), store.write(&action).unwrap());
+        }
+        assert_eq!(a.held(at(secs)), Some(FencingToken::new(1)));
+    }
+    assert_eq!(store.revision, 30);
+}
