--- a/crates/filbertgrade-coord/tests/state.rs
+++ b/crates/filbertgrade-coord/tests/state.rs
@@ -304,3 +304,47 @@
     }
     assert_eq!(store.revision, 30);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(500) })]
+
+    // Guards against two holders at once, and a token that two holders share,
+    // under conflicts, lost answers, late writes, pauses and yields.
+    #[test]
+    fn at_most_one_candidate_holds_the_lease(
+        ops in proptest::collection::vec((0..3usize, 0..8u8, 0..4_000u64), 1..150),
+    ) {
+        let mut now = Instant::now();
+        let mut store = Store { revision: 0, record: None };
+        let mut candidates = ["a", "b", "c"].map(candidate);
+        let mut late = Vec::new();
+        let mut holders: BTreeMap<FencingToken, usize> = BTreeMap::new();
+        for (i, op, millis) in ops {
+            let lease = &mut candidates[i];
+            match op {
+                0 | 1 => now += Duration::from_millis(millis),
+                2 => lease.observe(now, store.read()),
+                3 if !late.is_empty() => {
+                    let write: LeaseAction = late.remove(i % late.len());
+                    store.write(&write);
+                }
+                4 if millis < 400 => late.extend(lease.yield_now(now)),
+                _ => match lease.next(now) {
+                    LeaseAction::Read => lease.observe(now, store.read()),
+                    write @ LeaseAction::Write { .. } if op == 5 => late.push(write),
+                    write @ LeaseAction::Write { .. } => match store.write(&write) {
+                        Some(revision) if op == 6 => lease.written(now, revision),
+                        Some(_) => {}
+                        None => lease.conflicted(),
+                    },
+                    LeaseAction::Wait { .. } => {}
+                },
+            }
+            let held: Vec<_> = candidates.iter().map(|lease| lease.held(now)).collect();
+            prop_assert!(held.iter().flatten().count() <= 1, "{held:?}");
+            for (i, token) in held.iter().enumerate().filter_map(|(i, t)| t.map(|t| (i, t))) {
+                prop_assert_eq!(*holders.entry(token).or_insert(i), i);
+            }
+        }
+    }
+}
