--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -283,17 +283,23 @@
     }
 
     /// Removes an endpoint. Its permits are forgotten.
-    pub fn remove_endpoint(&mut self, name: &EndpointName) {
+    ///
+    /// Fewer slots mean a smaller local reserve, which may make grants possible.
+    pub fn remove_endpoint(&mut self, now: Instant, name: &EndpointName) -> Vec<LateGrant> {
         self.endpoints.remove(name);
         self.permits.retain(|_, permit| permit.endpoint != *name);
+        self.serve(now)
     }
 
     /// Notes that an endpoint shed a request or could not be reached: it
     /// starts a new ramp with one slot.
-    pub fn cool_down(&mut self, now: Instant, name: &EndpointName) {
+    ///
+    /// Fewer slots mean a smaller local reserve, which may make grants possible.
+    pub fn cool_down(&mut self, now: Instant, name: &EndpointName) -> Vec<LateGrant> {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.cold_since = Some(now);
         }
+        self.serve(now)
     }
 
     /// Grants a slot, queues the request, or refuses it.
@@ -406,6 +412,10 @@
 
     /// The next instant at which [`SlotBook::expire`] has something to do.
     pub fn next_event_at(&self, now: Instant) -> Option<Instant> {
+        // A ramp step that has passed is no future event, and still has slots to give.
+        if self.is_anyone_ahead(now) {
+            return Some(now);
+        }
         let leases = self.permits.values().map(|p| p.expires_at);
         let deadlines = self.queues.values().flatten().map(|w| w.request.deadline);
         let ramps = self
--- a/crates/filbertgrade-coord/tests/slots/main.rs
+++ b/crates/filbertgrade-coord/tests/slots/main.rs
@@ -105,8 +105,8 @@
                 self.late(&granted)
             }
             "cool" => {
-                self.book.cool_down(now, &EndpointName::try_from(first)?);
-                String::new()
+                let granted = self.book.cool_down(now, &EndpointName::try_from(first)?);
+                self.late(&granted)
             }
             "acquire" => {
                 let origin = match args.next_pos() {
@@ -191,13 +191,14 @@
         for (op, a, b) in ops {
             let name = &names[usize::from(a) % 3];
             let before = book.snapshot(now);
-            match op % 10 {
+            match op % 11 {
                 0 => {
                     let temperature = if b % 2 == 0 { Temperature::Warm } else { Temperature::Cold };
                     answered += book.set_endpoint(now, name.clone(), u32::from(b % 5), temperature).len();
                 }
+                1 if b % 4 == 0 => answered += book.remove_endpoint(now, name).len(),
                 1 => answered += book.set_draining(now, name, b % 2 == 0).len(),
-                2 => book.cool_down(now, name),
+                2 => answered += book.cool_down(now, name).len(),
                 3 => {
                     now += Duration::from_millis(u64::from(a) * 4);
                     let expired = book.expire(now);
@@ -207,6 +208,8 @@
                     let id = PermitId { incarnation: 1, number: u64::from(a) };
                     answered += book.release(now, id).len();
                 }
+                // Time passes without expire(), which next_event_at must ask for.
+                6 => now += Duration::from_millis(u64::from(a) * 4),
                 _ => {
                     let team = ["local-0", "local-1", "remote"][usize::from(b) % 3];
                     let request = SlotRequest {
@@ -228,7 +231,8 @@
                 }
             }
             let full = (after.endpoints.iter()).all(|e| e.draining || e.in_use >= e.open);
-            if !full && after.waiting.iter().any(|(team, _)| team.as_str().starts_with("local")) {
+            let asked = book.next_event_at(now).is_some_and(|at| at <= now);
+            if !full && !asked && after.waiting.iter().any(|(team, _)| team.as_str().starts_with("local")) {
                 return fail(format!("a local request waits for a free slot: {after:?}"));
             }
             let in_use: u32 = after.endpoints.iter().map(|e| e.in_use).sum();
--- a/crates/filbertgrade-coord/tests/state.rs
+++ b/crates/filbertgrade-coord/tests/state.rs
@@ -66,6 +66,19 @@
     assert_eq!(map.revision(), 7);
 }
 
+fn catch_up(from: &VersionedMap<u32>, to: &mut VersionedMap<u32>, log_limit: usize) {
+    match from.delta_since(to.revision()) {
+        Catchup::Delta(delta) => {
+            assert!(delta.changes.len() <= log_limit);
+            to.apply_delta(delta).unwrap();
+        }
+        Catchup::SnapshotNeeded => {
+            to.apply_snapshot(from.snapshot()).unwrap();
+        }
+        Catchup::UpToDate => {}
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
@@ -78,6 +91,8 @@
     ) {
         let mut source = VersionedMap::new(log_limit);
         let mut copy = VersionedMap::new(log_limit);
+        // Follows the copy, whose log may start at a snapshot.
+        let mut second = VersionedMap::new(log_limit);
         let mut model = BTreeMap::new();
         for (name, value, pull) in writes {
             let (name, revision) = (format!("n{name}"), source.revision());
@@ -87,18 +102,13 @@
                 None => model.remove(&name),
             };
             source.apply_delta(delta(revision, revision + 1, &[(&name, revision + 1, value)])).unwrap();
-            if pull > 0 {
+            if pull > 1 {
                 continue;
             }
-            match source.delta_since(copy.revision()) {
-                Catchup::Delta(delta) => {
-                    prop_assert!(delta.changes.len() <= log_limit);
-                    copy.apply_delta(delta).unwrap();
-                }
-                Catchup::SnapshotNeeded => {
-                    copy.apply_snapshot(source.snapshot()).unwrap();
-                }
-                Catchup::UpToDate => {}
+            catch_up(&source, &mut copy, log_limit);
+            if pull == 1 {
+                catch_up(&copy, &mut second, log_limit);
+                prop_assert_eq!(second.snapshot(), copy.snapshot());
             }
             let held: BTreeMap<String, u32> =
                 copy.iter().map(|(name, entry)| (name.to_string(), entry.value)).collect();
@@ -234,8 +244,10 @@
     let second = b.held(at(11)).unwrap();
     assert!(first < second && first.check(second).is_err() && second.check(first).is_ok());
     // The paused holder wakes, does not hold the lease, and its write conflicts.
+    // It would be for a higher token, since its old decisions must not continue.
     assert_eq!(a.held(at(12)), None);
     let late = a.next(at(12));
+    assert!(matches!(&late, LeaseAction::Write { record, .. } if record.token > first));
     assert_eq!(store.write(&late), None);
     a.conflicted();
     a.observe(at(12), store.read());
