--- a/crates/filbertgrade-blocks/src/page.rs
+++ b/crates/filbertgrade-blocks/src/page.rs
@@ -15,13 +15,15 @@
     entries: u32,
     width: u8,
     starts: Starts,
-    /// The site of each range, or [`INHERIT`]. As long as `starts`.
+    /// The site of each range, or [`INHERIT`]. As long as `starts`, or empty if those hold the
+    /// sites.
     sites: Box<[u16]>,
 }
 
 /// First addresses of the ranges, ascending. The first is always zero.
 #[derive(Debug)]
 enum Starts {
+    /// The starts, then as many sites. One allocation for both saves a cache miss.
     U16(Box<[u16]>),
     /// The upper 32 of the bits that the page resolves.
     U32(Box<[u32]>),
@@ -36,10 +38,13 @@
             writer.push(entry);
         }
         let ranges = flatten(width, entries);
-        let sites = ranges.iter().map(|&(_, site)| site).collect();
+        let range_sites = ranges.iter().map(|&(_, site)| site);
+        let mut sites = Box::default();
         let starts = if width == 16 {
-            Starts::U16(ranges.iter().map(|&(start, _)| start as u16).collect())
+            let starts = ranges.iter().map(|&(start, _)| start as u16);
+            Starts::U16(starts.chain(range_sites).collect())
         } else if entries.iter().all(|entry| entry.len <= 32) {
+            sites = range_sites.collect();
             Starts::U32(
                 ranges
                     .iter()
@@ -47,6 +52,7 @@
                     .collect(),
             )
         } else {
+            sites = range_sites.collect();
             Starts::U128(ranges.iter().map(|&(start, _)| start).collect())
         };
         let source = writer.finish().into_boxed_slice();
@@ -63,9 +69,10 @@
     #[inline]
     pub(crate) fn search(&self, low: u128) -> u16 {
         let after = match &self.starts {
-            Starts::U16(starts) => {
+            Starts::U16(ranges) => {
                 let low = low as u16;
-                starts.partition_point(|&start| start <= low)
+                let (starts, sites) = ranges.split_at(ranges.len() / 2);
+                return sites[starts.partition_point(|&start| start <= low) - 1];
             }
             Starts::U32(starts) => {
                 let low = (low >> (self.width - 32)) as u32;
@@ -81,7 +88,10 @@
     }
 
     pub(crate) fn range_count(&self) -> usize {
-        self.sites.len()
+        match &self.starts {
+            Starts::U16(ranges) => ranges.len() / 2,
+            Starts::U32(_) | Starts::U128(_) => self.sites.len(),
+        }
     }
 
     pub(crate) fn source(&self) -> &[u8] {
