--- a/crates/filbertgrade-blocks/src/page.rs
+++ b/crates/filbertgrade-blocks/src/page.rs
@@ -15,15 +15,13 @@
     entries: u32,
     width: u8,
     starts: Starts,
-    /// The site of each range, or [`INHERIT`]. As long as `starts`, or empty if those hold the
-    /// sites.
+    /// The site of each range, or [`INHERIT`]. As long as `starts`.
     sites: Box<[u16]>,
 }
 
 /// First addresses of the ranges, ascending. The first is always zero.
 #[derive(Debug)]
 enum Starts {
-    /// The starts, then as many sites. One allocation for both saves a cache miss.
     U16(Box<[u16]>),
     /// The upper 32 of the bits that the page resolves.
     U32(Box<[u32]>),
@@ -38,13 +36,10 @@
             writer.push(entry);
         }
         let ranges = flatten(width, entries);
-        let range_sites = ranges.iter().map(|&(_, site)| site);
-        let mut sites = Box::default();
+        let sites = ranges.iter().map(|&(_, site)| site).collect();
         let starts = if width == 16 {
-            let starts = ranges.iter().map(|&(start, _)| start as u16);
-            Starts::U16(starts.chain(range_sites).collect())
+            Starts::U16(ranges.iter().map(|&(start, _)| start as u16).collect())
         } else if entries.iter().all(|entry| entry.len <= 32) {
-            sites = range_sites.collect();
             Starts::U32(
                 ranges
                     .iter()
@@ -52,7 +47,6 @@
                     .collect(),
             )
         } else {
-            sites = range_sites.collect();
             Starts::U128(ranges.iter().map(|&(start, _)| start).collect())
         };
         let source = writer.finish().into_boxed_slice();
@@ -69,10 +63,9 @@
     #[inline]
     pub(crate) fn search(&self, low: u128) -> u16 {
         let after = match &self.starts {
-            Starts::U16(ranges) => {
+            Starts::U16(starts) => {
                 let low = low as u16;
-                let (starts, sites) = ranges.split_at(ranges.len() / 2);
-                return sites[starts.partition_point(|&start| start <= low) - 1];
+                starts.partition_point(|&start| start <= low)
             }
             Starts::U32(starts) => {
                 let low = (low >> (self.width - 32)) as u32;
@@ -88,10 +81,7 @@
     }
 
     pub(crate) fn range_count(&self) -> usize {
-        match &self.starts {
-            Starts::U16(ranges) => ranges.len() / 2,
-            Starts::U32(_) | Starts::U128(_) => self.sites.len(),
-        }
+        self.sites.len()
     }
 
     pub(crate) fn source(&self) -> &[u8] {
