Report every configuration fault in one run with file, line and key path

The check stopped at the first string error of the parser and had no cross checks, so operators repaired a file one fault at a time and could apply a file with an endpoint in no region. The configuration is now read from spanned tables, which keeps the place of every value. Service names follow the same rule as the other names, so a path segment cannot name two services.

--- a/crates/filbertgrade/src/process/command/check.rs
+++ b/crates/filbertgrade/src/process/command/check.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use crate::version::Config;
+use crate::version::{Config, ConfigFile};
 
 /// Why a file could not be checked.
 #[derive(Debug, thiserror::Error)]
@@ -23,10 +23,15 @@
         path: path.to_owned(),
         source,
     })?;
-    match Config::parse(&text) {
+    let name = path.display().to_string();
+    let file = ConfigFile {
+        name: &name,
+        text: &text,
+    };
+    match Config::parse_files(&[file]) {
         Ok(_) => Ok(ExitCode::SUCCESS),
         Err(error) => {
-            eprintln!("{}: {error}", path.display());
+            eprintln!("{error}");
             Ok(ExitCode::FAILURE)
         }
     }
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -80,8 +80,8 @@
 async fn carry(entry: &Entry, mut req: Request<Incoming>) -> Result<Response<Body>, Refusal> {
     let view = entry.in_force.load_full();
     let config = view.config.as_deref();
-    let service = config
-        .and_then(|cfg| cfg.services.get(service_of(req.uri().path())))
+    let (name, service) = config
+        .and_then(|cfg| cfg.services.get_key_value(service_of(req.uri().path())))
         .ok_or(Refusal::not_run(Cause::UnknownService))?;
     let team = match service.access {
         Access::Open => None,
@@ -99,7 +99,7 @@
         entry.admission.admit(team, deadline).await?;
     }
     let ask = SlotAsk {
-        service: service_of(req.uri().path()).into(),
+        service: name.clone(),
         team,
         deadline,
         avoid: Vec::new(),
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -8,7 +8,10 @@
 mod keys;
 mod names;
 
-pub use config::{Access, Config, ConfigError, Network, RegionConfig, ServiceConfig, TeamConfig};
+pub use config::{
+    Access, Config, ConfigChange, ConfigError, ConfigFile, ConfigLine, ConfigValue, Fault, Network,
+    RegionConfig, ServiceConfig, TeamConfig,
+};
 pub(crate) use delta::{apply_delta, delta_for};
 pub use fleet::{VmRecord, VmState};
 pub use in_force::{CONFIG_ROOT, ConfigRoot, InForce};
--- a/crates/filbertgrade/src/version/names.rs
+++ b/crates/filbertgrade/src/version/names.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use filbertgrade_coord::names::{NameError, TeamName};
+
 /// Name of a service; the first segment of a request's path.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServiceName(Arc<str>);
@@ -16,9 +18,13 @@
     }
 }
 
-impl From<&str> for ServiceName {
-    fn from(name: &str) -> Self {
-        Self(name.into())
+impl TryFrom<&str> for ServiceName {
+    type Error = NameError;
+
+    fn try_from(name: &str) -> Result<Self, NameError> {
+        // All names follow one rule, which `filbertgrade_coord` keeps private.
+        TeamName::try_from(name)?;
+        Ok(Self(name.into()))
     }
 }
 
@@ -30,6 +36,6 @@
 
 impl fmt::Display for ServiceName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.pad(&self.0)
     }
 }
