Bound platform answers and refuse values that are not UTF-8

Lists and watches carry values as JSON strings, so a value that is not UTF-8 came back changed, and an answer without an end could take all memory of a VM. Both are typed errors now. A removal returns its revision, which a command needs to wait until it is in force. A status of 500 or above leaves the outcome of a write unknown, because the store may have failed after it took effect. Calls without an answer are counted by kind.

--- a/crates/filbertgrade/src/platform/http.rs
+++ b/crates/filbertgrade/src/platform/http.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use http::header::{ETAG, HOST, IF_MATCH, IF_NONE_MATCH};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 
@@ -20,6 +20,13 @@
 /// given up, because its connection may have gone silent.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest value of an object; the platform holds values up to 1 MB.
+const VALUE_BYTES: usize = 1024 * 1024;
+
+/// Longest answer to a list or watch. It bounds the memory that a faulty
+/// answer takes, well above the objects of the largest fleet.
+const LIST_BYTES: usize = 64 * 1024 * 1024;
+
 /// Client of the object API. Each call uses a connection of its own, so that
 /// a connection that went silent costs one call only.
 #[derive(Debug)]
@@ -38,11 +45,27 @@
     async fn call(
         &self,
         name: &str,
-        kind: &'static str,
+        kind: Kind,
+        req: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        metrics::counter!("platform_calls_total", "kind" => kind.as_str()).increment(1);
+        let answer = self.exchange(name, kind, req, within).await;
+        if answer.is_err() {
+            metrics::counter!("platform_calls_unanswered_total", "kind" => kind.as_str())
+                .increment(1);
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        name: &str,
+        kind: Kind,
         req: Request<Full<Bytes>>,
         within: Duration,
     ) -> Result<Response<Bytes>, PlatformError> {
-        metrics::counter!("platform_calls_total", "kind" => kind).increment(1);
+        let limit = kind.answer_bytes();
         let stream = tokio::time::timeout(
             CALL_TIMEOUT,
             crate::connection::connect(self.address, self.local),
@@ -56,13 +79,14 @@
         let driver = tokio::spawn(connection);
         let answer = tokio::time::timeout(within, async {
             let (parts, body) = sender.send_request(req).await?.into_parts();
-            let body = body.collect().await?.to_bytes();
-            Ok::<_, hyper::Error>(Response::from_parts(parts, body))
+            let body = Limited::new(body, limit).collect().await?.to_bytes();
+            Ok::<_, BoxError>(Response::from_parts(parts, body))
         })
         .await;
         driver.abort();
         match answer {
             Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(PlatformError::too_long(name, limit)),
             Ok(Err(e)) => Err(PlatformError::no_answer(name, &e)),
             Err(_) => Err(PlatformError::no_answer(name, &"timed out")),
         }
@@ -76,6 +100,37 @@
     }
 }
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Kind of a call, as the metrics name it.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Get,
+    Put,
+    Delete,
+    List,
+    Watch,
+}
+
+impl Kind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::Put => "put",
+            Self::Delete => "delete",
+            Self::List => "list",
+            Self::Watch => "watch",
+        }
+    }
+
+    fn answer_bytes(self) -> usize {
+        match self {
+            Self::Get | Self::Put | Self::Delete => VALUE_BYTES,
+            Self::List | Self::Watch => LIST_BYTES,
+        }
+    }
+}
+
 impl Platform for HttpPlatform {
     fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
         async move {
@@ -83,9 +138,12 @@
                 .request(Method::GET, &object_target(name))
                 .body(Full::default())
                 .map_err(|e| PlatformError::not_sent(name, &e))?;
-            let answer = self.call(name, "get", req, CALL_TIMEOUT).await?;
+            let answer = self.call(name, Kind::Get, req, CALL_TIMEOUT).await?;
             match answer.status() {
                 StatusCode::NOT_FOUND => Ok(None),
+                StatusCode::OK if std::str::from_utf8(answer.body()).is_err() => {
+                    Err(PlatformError::not_utf8(name))
+                }
                 StatusCode::OK => Ok(Some(Object {
                     name: name.to_owned(),
                     revision: revision(name, &answer)?,
@@ -104,6 +162,11 @@
         condition: Condition,
     ) -> BoxFuture<'a, Result<Revision, PlatformError>> {
         async move {
+            // Lists and watches carry values as JSON strings, so any other
+            // content would come back changed.
+            if std::str::from_utf8(&value).is_err() {
+                return Err(PlatformError::not_utf8(name));
+            }
             let req = self.request(Method::PUT, &object_target(name));
             let req = match condition {
                 Condition::Absent => req.header(IF_NONE_MATCH, "*"),
@@ -113,7 +176,7 @@
             let req = req
                 .body(Full::new(value))
                 .map_err(|e| PlatformError::not_sent(name, &e))?;
-            let answer = self.call(name, "put", req, CALL_TIMEOUT).await?;
+            let answer = self.call(name, Kind::Put, req, CALL_TIMEOUT).await?;
             match answer.status() {
                 StatusCode::PRECONDITION_FAILED => {
                     Err(PlatformError::conflict(name, revision(name, &answer).ok()))
@@ -130,19 +193,19 @@
         &'a self,
         name: &'a str,
         at: Revision,
-    ) -> BoxFuture<'a, Result<(), PlatformError>> {
+    ) -> BoxFuture<'a, Result<Revision, PlatformError>> {
         async move {
             let req = self
                 .request(Method::DELETE, &object_target(name))
                 .header(IF_MATCH, at.to_string())
                 .body(Full::default())
                 .map_err(|e| PlatformError::not_sent(name, &e))?;
-            let answer = self.call(name, "delete", req, CALL_TIMEOUT).await?;
+            let answer = self.call(name, Kind::Delete, req, CALL_TIMEOUT).await?;
             match answer.status() {
                 StatusCode::PRECONDITION_FAILED | StatusCode::NOT_FOUND => {
                     Err(PlatformError::conflict(name, revision(name, &answer).ok()))
                 }
-                status if status.is_success() => Ok(()),
+                status if status.is_success() => revision(name, &answer),
                 status => Err(PlatformError::refused(name, status.as_u16())),
             }
         }
@@ -159,7 +222,7 @@
                 .request(Method::GET, &target)
                 .body(Full::default())
                 .map_err(|e| PlatformError::not_sent(&target, &e))?;
-            let answer = self.call(&target, "list", req, CALL_TIMEOUT).await?;
+            let answer = self.call(&target, Kind::List, req, CALL_TIMEOUT).await?;
             match answer.status() {
                 StatusCode::OK => decode_changes(&target, answer.body()),
                 status => Err(PlatformError::refused(&target, status.as_u16())),
@@ -185,7 +248,7 @@
                 .body(Full::default())
                 .map_err(|e| PlatformError::not_sent(&target, &e))?;
             let answer = self
-                .call(&target, "watch", req, wait + CALL_TIMEOUT)
+                .call(&target, Kind::Watch, req, wait + CALL_TIMEOUT)
                 .await?;
             match answer.status() {
                 StatusCode::OK => decode_changes(&target, answer.body()),
--- a/crates/filbertgrade/src/platform/mod.rs
+++ b/crates/filbertgrade/src/platform/mod.rs
@@ -42,12 +42,13 @@
         condition: Condition,
     ) -> BoxFuture<'a, Result<Revision, PlatformError>>;
 
-    /// Removes one object if it is still at `revision`.
+    /// Removes one object if it is still at `revision`, and returns the
+    /// revision of the removal.
     fn delete<'a>(
         &'a self,
         name: &'a str,
         revision: Revision,
-    ) -> BoxFuture<'a, Result<(), PlatformError>>;
+    ) -> BoxFuture<'a, Result<Revision, PlatformError>>;
 
     /// Reads all objects whose names start with one of `prefixes`.
     fn list<'a>(&'a self, prefixes: &'a [&'a str])
@@ -116,6 +117,10 @@
     Refused(u16),
     #[error("answer not understood: {0}")]
     BadAnswer(String),
+    #[error("the answer is longer than {0} bytes")]
+    TooLong(usize),
+    #[error("the value is not UTF-8, which lists and watches cannot carry")]
+    NotUtf8,
 }
 
 impl PlatformError {
@@ -143,6 +148,14 @@
         Self::new(name, PlatformErrorKind::BadAnswer(cause.to_string()))
     }
 
+    pub(crate) fn too_long(name: &str, limit: usize) -> Self {
+        Self::new(name, PlatformErrorKind::TooLong(limit))
+    }
+
+    pub(crate) fn not_utf8(name: &str) -> Self {
+        Self::new(name, PlatformErrorKind::NotUtf8)
+    }
+
     fn new(name: &str, kind: PlatformErrorKind) -> Self {
         Self {
             name: name.to_owned(),
@@ -167,7 +180,33 @@
     pub fn is_outcome_unknown(&self) -> bool {
         matches!(
             self.kind,
-            PlatformErrorKind::NoAnswer(_) | PlatformErrorKind::BadAnswer(_)
+            PlatformErrorKind::NoAnswer(_)
+                | PlatformErrorKind::BadAnswer(_)
+                | PlatformErrorKind::TooLong(_)
+                | PlatformErrorKind::Refused(500..)
         )
     }
+
+    /// A value is not UTF-8: one to be written was not sent, one that was read
+    /// is refused.
+    #[must_use]
+    pub fn is_not_utf8(&self) -> bool {
+        matches!(self.kind, PlatformErrorKind::NotUtf8)
+    }
+
+    /// An answer was longer than any that the platform may give.
+    #[must_use]
+    pub fn is_too_long(&self) -> bool {
+        matches!(self.kind, PlatformErrorKind::TooLong(_))
+    }
+
+    /// The revision that a conflicting object is at; `None` without a conflict
+    /// and when the object does not exist.
+    #[must_use]
+    pub fn current_revision(&self) -> Option<Revision> {
+        match self.kind {
+            PlatformErrorKind::Conflict(current) => current,
+            _ => None,
+        }
+    }
 }
--- /dev/null
+++ b/crates/filbertgrade/tests/operators/platform.rs
@@ -0,0 +1,57 @@
+//! The platform client against stand-ins.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use filbertgrade::platform::{Condition, HttpPlatform, Platform};
+use filbertgrade_standins::platform::PlatformServer;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// Guards against values that a watch would give back changed: the platform
+/// carries them as JSON strings.
+#[tokio::test]
+async fn a_value_that_is_not_utf8_is_refused_with_a_typed_error() {
+    let server = PlatformServer::bind(loopback()).await.unwrap();
+    let client = HttpPlatform::new(server.addr(), None);
+    let value = Bytes::from_static(&[b'a', 0xff]);
+    let put = client.put("drains/x", value.clone(), Condition::Always);
+    let error = put.await.unwrap_err();
+    assert!(error.is_not_utf8(), "{error}");
+    assert!(!error.is_outcome_unknown());
+    assert_eq!(server.counts().writes, 0);
+
+    server.put("drains/x", value);
+    let error = client.get("drains/x").await.unwrap_err();
+    assert!(error.is_not_utf8(), "{error}");
+}
+
+/// Guards against a removal whose revision nobody learns.
+#[tokio::test]
+async fn delete_returns_the_revision_of_the_removal() {
+    let server = PlatformServer::bind(loopback()).await.unwrap();
+    let client = HttpPlatform::new(server.addr(), None);
+    let at = server.put("drains/x", "{}");
+    assert_eq!(client.delete("drains/x", at).await.unwrap(), at + 1);
+}
+
+/// Guards against an answer that takes all memory of a VM.
+#[tokio::test]
+async fn an_answer_over_the_limit_is_cut_off() {
+    let listener = tokio::net::TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut req = [0; 4096];
+        let _ = stream.read(&mut req).await;
+        let head = "HTTP/1.1 200 OK\r\netag: 1\r\ncontent-length: 3000000\r\n\r\n";
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(&vec![b'a'; 3_000_000]).await;
+    });
+    let client = HttpPlatform::new(address, None);
+    let error = client.get("drains/x").await.unwrap_err();
+    assert!(error.is_too_long(), "{error}");
+}
