--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use anyhow::Context;
+use filbertgrade::process::command::CommandError;
 use filbertgrade::process::command::flags::{Filbertgrade, FilbertgradeCmd};
 use filbertgrade::process::{agent, command, entry};
 
@@ -11,25 +11,32 @@
     let flags = Filbertgrade::from_env_or_exit();
     match run(flags) {
         Ok(code) => code,
-        Err(error) => {
-            eprintln!("filbertgrade: {error:#}");
-            ExitCode::FAILURE
-        }
+        Err(error) => report(&error),
+    }
+}
+
+/// Typed errors name their cause themselves, so the chain is not printed.
+fn report(error: &anyhow::Error) -> ExitCode {
+    match error.downcast_ref::<CommandError>() {
+        // Each line starts with file and line, as editors expect it.
+        Some(CommandError::Invalid(faults)) => eprintln!("{faults}"),
+        _ => eprintln!("filbertgrade: {error}"),
     }
+    error
+        .downcast_ref::<CommandError>()
+        .map_or(ExitCode::FAILURE, |error| error.exit_code().into())
 }
 
 fn run(flags: Filbertgrade) -> anyhow::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
-        .context("cannot start the runtime")?;
+        .map_err(|error| anyhow::anyhow!("cannot start the runtime: {error}"))?;
     runtime.block_on(async {
         match flags.subcommand {
             FilbertgradeCmd::Entry(flags) => entry::run(flags.settings()?).await?,
             FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
-            FilbertgradeCmd::Check(flags) => return Ok(command::check(&flags.file)?),
-            FilbertgradeCmd::Apply(flags) => command::apply(&flags.file, flags.store).await?,
-            FilbertgradeCmd::Key(flags) => command::key(flags).await?,
+            command => command::run(command).await?,
         }
         Ok(ExitCode::SUCCESS)
     })
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -58,6 +58,8 @@
     pub(crate) revision: watch::Sender<Revision>,
     /// Last report of the entry.
     pub(crate) report: Mutex<Option<Report>>,
+    /// When the entry reported last.
+    pub(crate) reported_at: Mutex<Option<Instant>>,
 }
 
 /// What is known of the store and of the fleet.
@@ -83,6 +85,7 @@
             state: Mutex::new(state),
             revision: watch::Sender::new(0),
             report: Mutex::new(None),
+            reported_at: Mutex::new(None),
         }
     }
 
--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -1,6 +1,6 @@
 //! Answers peer agents and the entry of the own VM.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::freshness::RegionAges;
@@ -9,6 +9,10 @@
 use crate::version::delta_for;
 use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
 
+/// The entry reports after every feed, at least every [`FEED_WAIT`]. Without a
+/// report for this time it is not running, and what it held counts for nothing.
+const ENTRY_SILENT_AFTER: Duration = Duration::from_secs(2);
+
 pub(crate) async fn answer(agent: Arc<Agent>, body: Body) -> Option<Body> {
     match body {
         Body::Hello(hello) => Some(Body::Feed(feed(&agent, &hello).await)),
@@ -37,6 +41,7 @@
 fn note_report(agent: &Agent, report: Report) {
     let mut last = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
     *last = Some(report);
+    *lock(&agent.reported_at) = Some(Instant::now());
 }
 
 fn pull_reply(agent: &Agent, pull: &Pull) -> PullReply {
@@ -55,14 +60,20 @@
 }
 
 fn status(agent: &Agent) -> StatusReply {
+    let age = lock(&agent.reported_at).map(|at| at.elapsed());
+    let connected = age.is_some_and(|age| age <= ENTRY_SILENT_AFTER);
     let report = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
     StatusReply {
         vm: agent.settings.vm.to_string(),
         agent_revision: *agent.revision.borrow(),
-        entry: report.clone(),
+        entry: report.clone().filter(|_| connected),
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl From<RegionAges> for RegionEvidence {
     fn from(ages: RegionAges) -> Self {
         let millis = |age: Duration| age.as_millis().try_into().unwrap_or(u32::MAX);
--- a/crates/filbertgrade/src/process/command/apply.rs
+++ b/crates/filbertgrade/src/process/command/apply.rs
@@ -1,128 +1,226 @@
-//! `apply`: puts a configuration in force as a whole.
+//! `apply` and `diff`: put a configuration in force as a whole.
 
-use std::net::SocketAddr;
-use std::path::Path;
+use std::collections::BTreeSet;
+use std::path::PathBuf;
 
 use bytes::Bytes;
-use sha2::{Digest, Sha256};
+use filbertgrade_coord::names::TeamName;
 
-use crate::platform::{Condition, HttpPlatform, Platform, PlatformError};
-use crate::version::{CONFIG_ROOT, Config, ConfigError, ConfigRoot};
+use super::CommandError;
+use super::confirm::{self, Scope};
+use super::stored::{self, StoredRoot};
+use super::write::{Written, write};
+use crate::platform::{Changes, Condition, HttpPlatform, Object, Platform};
+use crate::process::settings::CommandSettings;
+use crate::version::{
+    AppliedVersion, CONFIG_ROOT, Config, ConfigRoot, KeyRecord, KeyState, RECENT_APPLIES, VmRecord,
+};
 
-/// Longest part of a configuration, in bytes; the platform holds values up to
-/// 1 MB, and frames between processes need room for their names.
-const PART_BYTES: usize = 512 * 1024;
-
-/// Why a configuration was not put in force.
-#[derive(Debug, thiserror::Error)]
-#[non_exhaustive]
-pub enum ApplyError {
-    /// The file cannot be read.
-    #[error("cannot read the file: {0}")]
-    Read(#[from] std::io::Error),
-    /// The file is not a valid configuration.
-    #[error(transparent)]
-    Invalid(#[from] ConfigError),
-    /// Another version was accepted first; nothing of this file took effect.
-    #[error("conflict: version {winner} was accepted first; nothing of this file took effect")]
-    Conflict {
-        /// Version that won.
-        winner: u64,
-    },
-    /// The platform failed.
-    #[error(transparent)]
-    Platform(#[from] PlatformError),
-    /// The root object of the store is not readable.
-    #[error("the configuration root in the store is malformed: {0}")]
-    Root(#[from] serde_json::Error),
+/// Writes the configuration's parts, then makes them visible by one
+/// conditional update.
+///
+/// # Errors
+///
+/// Fails without effect when a file is invalid, when it would break what
+/// runs, or when another operator's version was accepted first.
+pub(super) async fn apply(
+    files: &[PathBuf],
+    settings: &CommandSettings,
+    wait: bool,
+) -> Result<(), CommandError> {
+    let config = stored::read_files(files)?;
+    let platform = HttpPlatform::new(settings.store, None);
+    let version = put_in_force(&platform, &config).await?;
+    if wait {
+        let vms = confirm::wait(&platform, settings, Scope::EveryVm, |reply| {
+            let entry = reply.entry.as_ref();
+            entry.is_some_and(|entry| entry.config_version >= version)
+        })
+        .await?;
+        println!("version {version} is in force on {vms} VMs");
+    }
+    Ok(())
 }
 
-/// Writes the file's parts, then makes them visible by one conditional update.
+/// Prints by key path what the files would change.
 ///
 /// # Errors
 ///
-/// Fails without effect when the file is invalid or another operator's
-/// version was accepted first.
-pub async fn apply(path: &Path, store: SocketAddr) -> Result<(), ApplyError> {
-    let text = std::fs::read_to_string(path)?;
-    Config::parse(&text)?;
-    let platform = HttpPlatform::new(store, None);
-    let version = apply_text(&platform, &text).await?;
-    println!("accepted as version {version}");
+/// Fails when a file is invalid or the store does not answer.
+pub(super) async fn diff(
+    files: &[PathBuf],
+    settings: &CommandSettings,
+) -> Result<(), CommandError> {
+    let config = stored::read_files(files)?;
+    let platform = HttpPlatform::new(settings.store, None);
+    let Some(root) = stored::read_root(&platform).await?.root else {
+        println!("no configuration is in force; every key is new");
+        for line in config.lines() {
+            println!("+ {line}");
+        }
+        return Ok(());
+    };
+    let in_force = stored::read_config(&platform, &root).await?;
+    let changes = in_force.changes_to(&config);
+    if changes.is_empty() {
+        println!("no differences from version {}", root.version);
+    }
+    for change in changes {
+        println!("{change}");
+    }
     Ok(())
 }
 
-async fn apply_text(platform: &dyn Platform, text: &str) -> Result<u64, ApplyError> {
-    let current = platform.get(CONFIG_ROOT).await?;
-    let (condition, version) = match &current {
-        None => (Condition::Absent, 0),
-        Some(object) => {
-            let root: ConfigRoot =
-                serde_json::from_slice(object.value.as_deref().unwrap_or_default())?;
-            (Condition::At(object.revision), root.version)
+async fn put_in_force(platform: &dyn Platform, config: &Config) -> Result<u64, CommandError> {
+    let StoredRoot { root, condition } = stored::read_root(platform).await?;
+    let parts = stored::parts(config);
+    let digests: Vec<String> = parts.iter().map(|(digest, _)| digest.clone()).collect();
+    if let Some(root) = &root {
+        if root.parts == digests {
+            println!("unchanged: version {} has this content", root.version);
+            return Ok(root.version);
         }
-    };
-    let parts = write_parts(platform, text).await?;
-    let root = ConfigRoot {
-        version: version + 1,
-        apply_id: format!("{:016x}", rand::random::<u64>()),
+        check_running(platform, root, config).await?;
+    }
+    write_parts(platform, root.as_ref(), &parts).await?;
+    let next = next_root(root.as_ref(), digests);
+    let value = encode(CONFIG_ROOT, &next)?;
+    let own = |object: &Object| applied_version(object, &next.apply_id).is_some();
+    match write(platform, CONFIG_ROOT, value, condition, own).await? {
+        Written::Answered(_) => println!("accepted as version {}", next.version),
+        Written::Found(object) => {
+            println!(
+                "accepted as version {}; the store's answer was lost, and the root names this apply",
+                next.version
+            );
+            let root = stored::decode_root(object.value.as_deref().unwrap_or_default())?;
+            if root.version != next.version {
+                println!("version {} has replaced it since", root.version);
+            }
+        }
+        Written::Lost(object) => {
+            let value = object.and_then(|object| object.value).unwrap_or_default();
+            let winner = stored::decode_root(&value)?.version;
+            return Err(CommandError::Conflict { winner });
+        }
+    }
+    Ok(next.version)
+}
+
+fn next_root(root: Option<&ConfigRoot>, parts: Vec<String>) -> ConfigRoot {
+    let version = root.map_or(0, |root| root.version) + 1;
+    let apply_id = format!("{:032x}", rand::random::<u128>());
+    let mut recent = root.map(|root| root.recent.clone()).unwrap_or_default();
+    recent.push(AppliedVersion {
+        version,
+        apply_id: apply_id.clone(),
+    });
+    let surplus = recent.len().saturating_sub(RECENT_APPLIES);
+    recent.drain(..surplus);
+    ConfigRoot {
+        version,
+        apply_id,
         parts,
+        recent,
+    }
+}
+
+/// The version that an apply wrote, if the root or its recent applies name it.
+fn applied_version(object: &Object, apply_id: &str) -> Option<u64> {
+    let root: ConfigRoot = serde_json::from_slice(object.value.as_deref()?).ok()?;
+    let mut recent = root.recent.iter();
+    let applied = recent.find(|applied| applied.apply_id == apply_id);
+    applied.map(|applied| applied.version)
+}
+
+async fn write_parts(
+    platform: &dyn Platform,
+    root: Option<&ConfigRoot>,
+    parts: &[(String, String)],
+) -> Result<(), CommandError> {
+    for (digest, text) in parts {
+        if root.is_some_and(|root| root.parts.contains(digest)) {
+            continue;
+        }
+        let name = stored::part_name(digest);
+        let value = Bytes::copy_from_slice(text.as_bytes());
+        // The name is the digest, so an object of that name has this content,
+        // whoever wrote it. A lost part makes nothing visible.
+        match write(platform, &name, value, Condition::Absent, |_| true).await {
+            Ok(_) => {}
+            Err(CommandError::Unknown(error)) => return Err(CommandError::Store(error)),
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a configuration that takes something away which is in use.
+async fn check_running(
+    platform: &dyn Platform,
+    root: &ConfigRoot,
+    next: &Config,
+) -> Result<(), CommandError> {
+    let now = match stored::read_config(platform, root).await {
+        Ok(config) => config,
+        // A configuration that nobody can read must not block its repair.
+        Err(CommandError::Malformed { name, cause }) => {
+            eprintln!("not compared with what is in force: {name}: {cause}");
+            return Ok(());
+        }
+        Err(error) => return Err(error),
     };
-    let value = Bytes::from(serde_json::to_vec(&root)?);
-    match platform.put(CONFIG_ROOT, value, condition).await {
-        Ok(_) => Ok(root.version),
-        Err(error) if error.is_conflict() => Err(winner(platform).await?),
-        Err(error) => Err(error.into()),
+    let listed = platform.list(&["vms/", "keys/"]).await?;
+    let refusals = refusals(&now, next, &listed);
+    if refusals.is_empty() {
+        Ok(())
+    } else {
+        Err(CommandError::Refused(refusals))
     }
 }
 
-async fn write_parts(platform: &dyn Platform, text: &str) -> Result<Vec<String>, ApplyError> {
-    let mut parts = Vec::new();
-    for chunk in chunks(text) {
-        let digest: String = Sha256::digest(chunk.as_bytes())
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect();
-        let name = format!("config/part/{digest}");
-        match platform
-            .put(
-                &name,
-                Bytes::copy_from_slice(chunk.as_bytes()),
-                Condition::Absent,
-            )
-            .await
+fn refusals(now: &Config, next: &Config, listed: &Changes) -> Vec<String> {
+    let mut refusals = Vec::new();
+    if now.deployment != next.deployment {
+        refusals.push(format!(
+            "deployment: the store belongs to {}, the file to {}",
+            now.deployment, next.deployment
+        ));
+    }
+    let mut keys: BTreeSet<TeamName> = BTreeSet::new();
+    for object in &listed.objects {
+        let value = object.value.as_deref().unwrap_or_default();
+        if object.name.starts_with("vms/") {
+            refusals.extend(VmRecord::decode(value).and_then(|vm| lost_place(now, next, &vm)));
+        } else if let Ok(key) = serde_json::from_slice::<KeyRecord>(value)
+            && key.state == KeyState::Granted
+            && let Ok(team) = TeamName::try_from(key.team.as_str())
         {
-            Ok(_) => {}
-            // The name is the digest, so an object of that name has this content.
-            Err(error) if error.is_conflict() => {}
-            Err(error) => return Err(error.into()),
+            keys.insert(team);
+        }
+    }
+    for team in keys {
+        if now.teams.contains_key(&team) && !next.teams.contains_key(&team) {
+            refusals.push(format!("teams.{team}: removed while its keys are granted"));
         }
-        parts.push(digest);
     }
-    Ok(parts)
+    refusals
 }
 
-async fn winner(platform: &dyn Platform) -> Result<ApplyError, ApplyError> {
-    let root = platform.get(CONFIG_ROOT).await?;
-    let value = root.and_then(|object| object.value).unwrap_or_default();
-    let root: ConfigRoot = serde_json::from_slice(&value)?;
-    Ok(ApplyError::Conflict {
-        winner: root.version,
+/// Why the next configuration has no place for a VM that has one now.
+fn lost_place(now: &Config, next: &Config, vm: &VmRecord) -> Option<String> {
+    let (region, domain) = (&vm.region, &vm.failure_domain);
+    let has_place = |cfg: &Config| cfg.region_of(domain) == Some(region);
+    (vm.is_live() && has_place(now) && !has_place(next)).then(|| {
+        format!(
+            "regions.{region}.failure_domains: {domain} removed while VM {} is live",
+            vm.name
+        )
     })
 }
 
-fn chunks(text: &str) -> Vec<&str> {
-    let mut rest = text;
-    let mut chunks = Vec::new();
-    while rest.len() > PART_BYTES {
-        let at = (0..=PART_BYTES)
-            .rev()
-            .find(|at| rest.is_char_boundary(*at))
-            .unwrap_or(rest.len());
-        let (chunk, tail) = rest.split_at(at);
-        chunks.push(chunk);
-        rest = tail;
-    }
-    chunks.push(rest);
-    chunks
+fn encode(name: &str, value: &impl serde::Serialize) -> Result<Bytes, CommandError> {
+    serde_json::to_vec(value)
+        .map(Bytes::from)
+        .map_err(|e| CommandError::malformed(name, &e))
 }
--- a/crates/filbertgrade/src/process/command/check.rs
+++ b/crates/filbertgrade/src/process/command/check.rs
@@ -1,38 +1,14 @@
-//! `check`: validates a configuration file without a platform.
+//! `check`: validates configuration files without a platform.
 
-use std::path::{Path, PathBuf};
-use std::process::ExitCode;
+use std::path::PathBuf;
 
-use crate::version::{Config, ConfigFile};
+use super::{CommandError, stored};
 
-/// Why a file could not be checked.
-#[derive(Debug, thiserror::Error)]
-#[error("cannot read {}: {source}", path.display())]
-pub struct CheckError {
-    path: PathBuf,
-    source: std::io::Error,
-}
-
-/// Prints every fault of the file.
+/// Reads and checks files as one configuration.
 ///
 /// # Errors
 ///
-/// Fails when the file cannot be read.
-pub fn check(path: &Path) -> Result<ExitCode, CheckError> {
-    let text = std::fs::read_to_string(path).map_err(|source| CheckError {
-        path: path.to_owned(),
-        source,
-    })?;
-    let name = path.display().to_string();
-    let file = ConfigFile {
-        name: &name,
-        text: &text,
-    };
-    match Config::parse_files(&[file]) {
-        Ok(_) => Ok(ExitCode::SUCCESS),
-        Err(error) => {
-            eprintln!("{error}");
-            Ok(ExitCode::FAILURE)
-        }
-    }
+/// Lists every fault of the files.
+pub(super) fn check(files: &[PathBuf]) -> Result<(), CommandError> {
+    stored::read_files(files).map(|_| ())
 }
--- /dev/null
+++ b/crates/filbertgrade/src/process/command/drain.rs
@@ -0,0 +1,133 @@
+//! `drain`: takes new work away from a VM, backend server or region.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use super::CommandError;
+use super::confirm::{self, Scope};
+use super::stored;
+use super::write::{Written, remove, write};
+use crate::platform::{Condition, HttpPlatform, Object, Platform, Revision};
+use crate::process::settings::CommandSettings;
+use crate::version::Config;
+
+/// What is drained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DrainKind {
+    Vm,
+    Server,
+    Region,
+}
+
+impl DrainKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Vm => "vm",
+            Self::Server => "server",
+            Self::Region => "region",
+        }
+    }
+}
+
+/// Starts a drain, or ends it with `undo`, and waits until this is in force
+/// on all live VMs.
+///
+/// # Errors
+///
+/// Fails without effect when nothing has this name or the store fails.
+pub(super) async fn drain(
+    kind: DrainKind,
+    name: &str,
+    undo: bool,
+    settings: &CommandSettings,
+) -> Result<(), CommandError> {
+    let platform = HttpPlatform::new(settings.store, None);
+    let object = format!("drains/{}/{name}", kind.as_str());
+    let revision = if undo {
+        end(&platform, &object).await?
+    } else {
+        check_target(&platform, kind, name).await?;
+        Some(start(&platform, &object).await?)
+    };
+    let Some(revision) = revision else {
+        println!("{} {name} was not drained", kind.as_str());
+        return Ok(());
+    };
+    let vms = confirm::wait(&platform, settings, Scope::EveryVm, |reply| {
+        let entry = reply.entry.as_ref();
+        entry.is_some_and(|entry| entry.revision >= revision)
+    })
+    .await?;
+    let what = if undo { "end of the drain" } else { "drain" };
+    println!(
+        "{what} of {} {name} is in force on {vms} VMs",
+        kind.as_str()
+    );
+    Ok(())
+}
+
+async fn start(platform: &dyn Platform, object: &str) -> Result<Revision, CommandError> {
+    let value = Bytes::from_static(b"{}");
+    // Whoever wrote the object, it starts the same drain.
+    match write(platform, object, value, Condition::Absent, |_| true).await? {
+        Written::Answered(revision) => Ok(revision),
+        Written::Found(object) | Written::Lost(Some(object)) => Ok(object.revision),
+        Written::Lost(None) => Err(changed(object)),
+    }
+}
+
+async fn end(platform: &dyn Platform, object: &str) -> Result<Option<Revision>, CommandError> {
+    let Some(Object { revision, .. }) = platform.get(object).await? else {
+        return Ok(None);
+    };
+    match remove(platform, object, revision).await? {
+        Some(revision) => Ok(Some(revision)),
+        None => Err(changed(object)),
+    }
+}
+
+fn changed(name: &str) -> CommandError {
+    CommandError::Changed {
+        name: name.to_owned(),
+    }
+}
+
+async fn check_target(
+    platform: &dyn Platform,
+    kind: DrainKind,
+    name: &str,
+) -> Result<(), CommandError> {
+    let known = match kind {
+        DrainKind::Vm => {
+            let (_, vms) = confirm::listed_vms(platform).await?;
+            vms.iter().any(|vm| vm.name.as_str() == name)
+        }
+        DrainKind::Server => {
+            let address = name.parse::<SocketAddr>().ok();
+            // Entries compare the address as text that Rust prints.
+            let address = address.filter(|address| address.to_string() == name);
+            let config = in_force(platform).await?;
+            let mut services = config.iter().flat_map(|cfg| cfg.services.values());
+            services.any(|s| s.all_endpoints().any(|(_, a)| Some(a) == address))
+        }
+        DrainKind::Region => {
+            let config = in_force(platform).await?;
+            config.is_some_and(|cfg| cfg.regions.contains_key(name))
+        }
+    };
+    if known {
+        return Ok(());
+    }
+    Err(CommandError::Refused(vec![format!(
+        "there is no {} {name}",
+        kind.as_str()
+    )]))
+}
+
+async fn in_force(platform: &dyn Platform) -> Result<Option<Config>, CommandError> {
+    match stored::read_root(platform).await?.root {
+        Some(root) => Ok(Some(stored::read_config(platform, &root).await?)),
+        None => Ok(None),
+    }
+}
--- a/crates/filbertgrade/src/process/command/flags.rs
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use crate::process::settings::{NodeFlags, NodeSettings, SettingsError};
+use crate::process::settings::{
+    CommandFlags, CommandSettings, NodeFlags, NodeSettings, SettingsError,
+};
 
 xflags::xflags! {
     /// Global traffic steering.
@@ -59,28 +61,45 @@
             /// Port for operators at the agent.
             optional --agent-operator-port port: String
         }
-        /// Validates a configuration file.
+        /// Validates configuration files as one configuration.
         cmd check {
-            /// Configuration file.
-            required file: PathBuf
+            /// Configuration files.
+            repeated file: PathBuf
         }
-        /// Puts a configuration file in force as a whole.
+        /// Shows by key path what files would change.
+        cmd diff {
+            /// Configuration files.
+            repeated file: PathBuf
+            /// Address of the platform's object API.
+            optional --store store: String
+        }
+        /// Puts configuration files in force as a whole.
         cmd apply {
-            /// Configuration file.
-            required file: PathBuf
+            /// Configuration files.
+            repeated file: PathBuf
             /// Address of the platform's object API.
-            required --store store: SocketAddr
+            optional --store store: String
+            /// Returns once the version is in force on every live VM.
+            optional --wait
+            /// Longest wait in milliseconds; 15000 by default.
+            optional --wait-limit-ms ms: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
         }
         /// Grants, withdraws and lists keys.
         cmd key {
             /// Address of the platform's object API.
-            required --store store: SocketAddr
+            optional --store store: String
+            /// Longest wait in milliseconds; 15000 by default.
+            optional --wait-limit-ms ms: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
             /// Grants a key to a team and shows its secret once.
             cmd create {
                 /// Team name.
                 required team: String
             }
-            /// Withdraws a key.
+            /// Withdraws a key, and waits until every region refuses it.
             cmd withdraw {
                 /// Id of the key: the part between the first two underscores.
                 required id: String
@@ -88,9 +107,64 @@
             /// Lists keys.
             cmd list {}
         }
+        /// Takes new work away, and waits until this is in force.
+        cmd drain {
+            /// Address of the platform's object API.
+            optional --store store: String
+            /// Longest wait in milliseconds; 15000 by default.
+            optional --wait-limit-ms ms: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
+            /// Drains a VM.
+            cmd vm {
+                /// Name of the VM.
+                required name: String
+                /// Ends the drain.
+                optional --undo
+            }
+            /// Drains a backend server.
+            cmd server {
+                /// Address of the backend server, as in the configuration.
+                required name: String
+                /// Ends the drain.
+                optional --undo
+            }
+            /// Drains a region.
+            cmd region {
+                /// Name of the region.
+                required name: String
+                /// Ends the drain.
+                optional --undo
+            }
+        }
+        /// Shows what every VM holds.
+        cmd status {
+            /// Address of the platform's object API.
+            optional --store store: String
+            /// Port for links between agents.
+            optional --agent-peer-port port: String
+        }
+        /// Shows the state of one process.
+        cmd dump {
+            /// Address of the operator port of an entry or agent.
+            required address: SocketAddr
+        }
     }
 }
 
+pub(super) fn command_settings(
+    store: Option<String>,
+    agent_peer_port: Option<String>,
+    wait_limit_ms: Option<String>,
+) -> Result<CommandSettings, SettingsError> {
+    let flags = CommandFlags {
+        store,
+        agent_peer_port,
+        wait_limit_ms,
+    };
+    CommandSettings::resolve(flags, |name| std::env::var(name).ok())
+}
+
 macro_rules! node_settings {
     ($flags:ident) => {
         impl $flags {
--- a/crates/filbertgrade/src/process/command/key.rs
+++ b/crates/filbertgrade/src/process/command/key.rs
@@ -1,87 +1,132 @@
 //! `key`: grants, withdraws and lists keys.
 
 use bytes::Bytes;
+use filbertgrade_coord::names::TeamName;
 
-use super::flags::{Key, KeyCmd};
-use crate::platform::{Condition, HttpPlatform, Platform, PlatformError};
+use super::CommandError;
+use super::confirm::{self, Scope};
+use super::stored;
+use super::write::{Written, write};
+use crate::platform::{Condition, HttpPlatform, Object, Platform, Revision};
+use crate::process::settings::CommandSettings;
 use crate::version::{KeyRecord, KeySecret, KeyState};
 
-/// Why a key command failed.
-#[derive(Debug, thiserror::Error)]
-#[non_exhaustive]
-pub enum KeyError {
-    /// The random source failed.
-    #[error("no random numbers: {0}")]
-    Random(#[from] getrandom::Error),
-    /// The platform failed.
-    #[error(transparent)]
-    Platform(#[from] PlatformError),
-    /// The record in the store is not readable.
-    #[error("the key record in the store is malformed: {0}")]
-    Record(#[from] serde_json::Error),
-    /// No key has this id.
-    #[error("no key has the id {id:?}")]
-    Unknown {
-        /// Id that was asked for.
-        id: String,
-    },
-}
-
-/// Runs one key command.
+/// Grants a key to a team and prints its secret once.
 ///
 /// # Errors
 ///
-/// Fails when the platform does, or when the key is unknown.
-pub async fn key(flags: Key) -> Result<(), KeyError> {
-    let platform = HttpPlatform::new(flags.store, None);
-    match flags.subcommand {
-        KeyCmd::Create(create) => grant(&platform, &create.team).await,
-        KeyCmd::Withdraw(withdraw) => withdraw_key(&platform, &withdraw.id).await,
-        KeyCmd::List(_) => list(&platform).await,
-    }
-}
-
-async fn grant(platform: &dyn Platform, team: &str) -> Result<(), KeyError> {
+/// Fails when the team does not exist or the store fails. A secret whose
+/// grant is unknown is not shown, so it grants nothing to anybody.
+pub(super) async fn create(team: &str, settings: &CommandSettings) -> Result<(), CommandError> {
+    let platform = HttpPlatform::new(settings.store, None);
+    check_team(&platform, team).await?;
     let secret = KeySecret::generate()?;
     let record = KeyRecord {
         team: team.to_owned(),
         digest: secret.digest().to_hex(),
         state: KeyState::Granted,
     };
-    let value = Bytes::from(serde_json::to_vec(&record)?);
-    platform
-        .put(&object_name(secret.id()), value, Condition::Absent)
-        .await?;
-    println!("{}", secret.reveal());
-    Ok(())
+    let name = object_name(secret.id());
+    let value = encode(&name, &record)?;
+    let own = |object: &Object| object.value.as_ref() == Some(&value);
+    match write(&platform, &name, value.clone(), Condition::Absent, own).await? {
+        Written::Answered(_) | Written::Found(_) => {
+            println!("{}", secret.reveal());
+            Ok(())
+        }
+        Written::Lost(_) => Err(CommandError::Changed { name }),
+    }
 }
 
-async fn withdraw_key(platform: &dyn Platform, id: &str) -> Result<(), KeyError> {
-    let name = object_name(id);
-    let Some(object) = platform.get(&name).await? else {
-        return Err(KeyError::Unknown { id: id.to_owned() });
-    };
-    let mut record: KeyRecord =
-        serde_json::from_slice(object.value.as_deref().unwrap_or_default())?;
-    record.state = KeyState::Withdrawn;
-    let value = Bytes::from(serde_json::to_vec(&record)?);
-    platform
-        .put(&name, value, Condition::At(object.revision))
-        .await?;
-    println!("withdrawn");
+/// Withdraws a key, and waits until every region refuses it.
+///
+/// # Errors
+///
+/// Fails with [`CommandError::NotConfirmed`] when a region does not confirm:
+/// by the freshness rules its VMs may then honour the key longer than 5 s.
+pub(super) async fn withdraw(id: &str, settings: &CommandSettings) -> Result<(), CommandError> {
+    let platform = HttpPlatform::new(settings.store, None);
+    let revision = write_withdrawal(&platform, id).await?;
+    confirm::wait(&platform, settings, Scope::EveryRegion, |reply| {
+        reply.agent_revision >= revision
+    })
+    .await?;
+    println!("accepted: key {id} is withdrawn as of revision {revision}");
     Ok(())
 }
 
-async fn list(platform: &dyn Platform) -> Result<(), KeyError> {
+/// Prints id, team and state of every key.
+///
+/// # Errors
+///
+/// Fails when the store does. Malformed records are named on standard error.
+pub(super) async fn list(settings: &CommandSettings) -> Result<(), CommandError> {
+    let platform = HttpPlatform::new(settings.store, None);
     for object in platform.list(&["keys/"]).await?.objects {
-        let record: KeyRecord =
-            serde_json::from_slice(object.value.as_deref().unwrap_or_default())?;
         let id = object.name.trim_start_matches("keys/");
-        println!("{id} team={} state={:?}", record.team, record.state);
+        match decode(&object) {
+            Ok(KeyRecord { team, state, .. }) => println!("{id} team={team} state={state}"),
+            Err(error) => eprintln!("{error}"),
+        }
     }
     Ok(())
 }
 
+async fn check_team(platform: &dyn Platform, team: &str) -> Result<(), CommandError> {
+    let refused = |cause: String| Err(CommandError::Refused(vec![cause]));
+    let name = match TeamName::try_from(team) {
+        Ok(name) => name,
+        Err(error) => return refused(format!("team {team:?}: {error}")),
+    };
+    let Some(root) = stored::read_root(platform).await?.root else {
+        return refused("no configuration is in force, so there is no team".to_owned());
+    };
+    let config = stored::read_config(platform, &root).await?;
+    if config.teams.contains_key(&name) {
+        return Ok(());
+    }
+    let teams: Vec<&str> = config.teams.keys().map(TeamName::as_str).collect();
+    refused(format!(
+        "team {team} is not in version {}; teams are {}",
+        root.version,
+        teams.join(", ")
+    ))
+}
+
+async fn write_withdrawal(platform: &dyn Platform, id: &str) -> Result<Revision, CommandError> {
+    let name = object_name(id);
+    let unknown = || CommandError::Refused(vec![format!("no key has the id {id:?}")]);
+    // The id becomes part of an object name; ids hold nothing else.
+    if id.is_empty() || !id.bytes().all(|b| b.is_ascii_alphanumeric()) {
+        return Err(unknown());
+    }
+    let object = platform.get(&name).await?.ok_or_else(unknown)?;
+    let mut record = decode(&object)?;
+    if record.state == KeyState::Withdrawn {
+        return Ok(object.revision);
+    }
+    record.state = KeyState::Withdrawn;
+    let value = encode(&name, &record)?;
+    let condition = Condition::At(object.revision);
+    let withdrawn = |object: &Object| decode(object).is_ok_and(|r| r.state == KeyState::Withdrawn);
+    match write(platform, &name, value, condition, withdrawn).await? {
+        Written::Answered(revision) => Ok(revision),
+        Written::Found(object) => Ok(object.revision),
+        Written::Lost(_) => Err(CommandError::Changed { name }),
+    }
+}
+
+fn decode(object: &Object) -> Result<KeyRecord, CommandError> {
+    serde_json::from_slice(object.value.as_deref().unwrap_or_default())
+        .map_err(|e| CommandError::malformed(&object.name, &e))
+}
+
+fn encode(name: &str, record: &KeyRecord) -> Result<Bytes, CommandError> {
+    serde_json::to_vec(record)
+        .map(Bytes::from)
+        .map_err(|e| CommandError::malformed(name, &e))
+}
+
 fn object_name(id: &str) -> String {
     format!("keys/{id}")
 }
--- a/crates/filbertgrade/src/process/command/mod.rs
+++ b/crates/filbertgrade/src/process/command/mod.rs
@@ -2,9 +2,60 @@
 
 mod apply;
 mod check;
+mod confirm;
+mod drain;
+mod error;
 pub mod flags;
 mod key;
+mod status;
+mod stored;
+mod write;
 
-pub use apply::{ApplyError, apply};
-pub use check::{CheckError, check};
-pub use key::{KeyError, key};
+use self::drain::DrainKind;
+pub use self::error::CommandError;
+use self::flags::{DrainCmd, FilbertgradeCmd, KeyCmd};
+
+/// Runs one operators' command; the daemons are not among them.
+///
+/// # Errors
+///
+/// Fails as the command does; [`CommandError::exit_code`] tells scripts why.
+pub async fn run(command: FilbertgradeCmd) -> Result<(), CommandError> {
+    match command {
+        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) => Ok(()),
+        FilbertgradeCmd::Check(flags) => check::check(&flags.file),
+        FilbertgradeCmd::Diff(flags) => {
+            let settings = flags::command_settings(flags.store, None, None)?;
+            apply::diff(&flags.file, &settings).await
+        }
+        FilbertgradeCmd::Apply(flags) => {
+            let settings =
+                flags::command_settings(flags.store, flags.agent_peer_port, flags.wait_limit_ms)?;
+            apply::apply(&flags.file, &settings, flags.wait).await
+        }
+        FilbertgradeCmd::Key(flags) => {
+            let settings =
+                flags::command_settings(flags.store, flags.agent_peer_port, flags.wait_limit_ms)?;
+            match flags.subcommand {
+                KeyCmd::Create(create) => key::create(&create.team, &settings).await,
+                KeyCmd::Withdraw(withdraw) => key::withdraw(&withdraw.id, &settings).await,
+                KeyCmd::List(_) => key::list(&settings).await,
+            }
+        }
+        FilbertgradeCmd::Drain(flags) => {
+            let settings =
+                flags::command_settings(flags.store, flags.agent_peer_port, flags.wait_limit_ms)?;
+            let (kind, name, undo) = match flags.subcommand {
+                DrainCmd::Vm(vm) => (DrainKind::Vm, vm.name, vm.undo),
+                DrainCmd::Server(server) => (DrainKind::Server, server.name, server.undo),
+                DrainCmd::Region(region) => (DrainKind::Region, region.name, region.undo),
+            };
+            drain::drain(kind, &name, undo, &settings).await
+        }
+        FilbertgradeCmd::Status(flags) => {
+            let settings = flags::command_settings(flags.store, flags.agent_peer_port, None)?;
+            status::status(&settings).await
+        }
+        FilbertgradeCmd::Dump(flags) => status::dump(flags.address).await,
+    }
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/command/stored.rs
@@ -0,0 +1,124 @@
+//! The configuration as the store holds it, and as files give it.
+
+use std::path::PathBuf;
+
+use sha2::{Digest, Sha256};
+
+use super::CommandError;
+use crate::platform::{Condition, Platform};
+use crate::process::settings::SettingsError;
+use crate::version::{CONFIG_ROOT, Config, ConfigFile, ConfigRoot};
+
+/// Longest part of a configuration, in bytes; the platform holds values up to
+/// 1 MB, and frames between processes need room for their names.
+const PART_BYTES: usize = 512 * 1024;
+
+/// The root object as it was read.
+#[derive(Debug)]
+pub(super) struct StoredRoot {
+    /// `None` before the first configuration.
+    pub(super) root: Option<ConfigRoot>,
+    /// Holds while the root is as it was read.
+    pub(super) condition: Condition,
+}
+
+/// Reads and checks files as one configuration.
+pub(super) fn read_files(paths: &[PathBuf]) -> Result<Config, CommandError> {
+    if paths.is_empty() {
+        return Err(SettingsError::new("at least one configuration file is required").into());
+    }
+    let mut texts = Vec::new();
+    for path in paths {
+        let text = std::fs::read_to_string(path).map_err(|source| CommandError::Read {
+            path: path.clone(),
+            source,
+        })?;
+        texts.push((path.display().to_string(), text));
+    }
+    let files: Vec<ConfigFile<'_>> = texts
+        .iter()
+        .map(|(name, text)| ConfigFile { name, text })
+        .collect();
+    Ok(Config::parse_files(&files)?)
+}
+
+/// Reads the root object.
+pub(super) async fn read_root(platform: &dyn Platform) -> Result<StoredRoot, CommandError> {
+    match platform.get(CONFIG_ROOT).await? {
+        None => Ok(StoredRoot {
+            root: None,
+            condition: Condition::Absent,
+        }),
+        Some(object) => Ok(StoredRoot {
+            root: Some(decode_root(object.value.as_deref().unwrap_or_default())?),
+            condition: Condition::At(object.revision),
+        }),
+    }
+}
+
+/// Decodes the value of the root object.
+pub(super) fn decode_root(value: &[u8]) -> Result<ConfigRoot, CommandError> {
+    serde_json::from_slice(value).map_err(|e| CommandError::malformed(CONFIG_ROOT, &e))
+}
+
+/// Reads the configuration that a root makes visible.
+pub(super) async fn read_config(
+    platform: &dyn Platform,
+    root: &ConfigRoot,
+) -> Result<Config, CommandError> {
+    let mut text = String::new();
+    for part in &root.parts {
+        let name = part_name(part);
+        let value = platform.get(&name).await?.and_then(|object| object.value);
+        let value = value.ok_or_else(|| CommandError::malformed(&name, &"it does not exist"))?;
+        let part = std::str::from_utf8(&value).map_err(|e| CommandError::malformed(&name, &e))?;
+        text.push_str(part);
+    }
+    Config::parse(&text).map_err(|e| CommandError::malformed(CONFIG_ROOT, &e))
+}
+
+/// The parts of a configuration's text with their digests.
+///
+/// Each top-level table has parts of its own, so that a change in one leaves
+/// the parts of the others as they are.
+pub(super) fn parts(config: &Config) -> Vec<(String, String)> {
+    let mut tables: Vec<(String, String)> = Vec::new();
+    for line in config.lines() {
+        let table = line.path.split('.').next().unwrap_or_default().to_owned();
+        match tables.last_mut() {
+            Some((last, text)) if *last == table => text.push_str(&format!("{line}\n")),
+            _ => tables.push((table, format!("{line}\n"))),
+        }
+    }
+    tables
+        .iter()
+        .flat_map(|(_, text)| chunks(text))
+        .map(|chunk| (digest(chunk), chunk.to_owned()))
+        .collect()
+}
+
+/// Name of the object that holds a part.
+pub(super) fn part_name(digest: &str) -> String {
+    format!("config/part/{digest}")
+}
+
+fn digest(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn chunks(text: &str) -> Vec<&str> {
+    let mut rest = text;
+    let mut chunks = Vec::new();
+    while rest.len() > PART_BYTES {
+        let at = (0..=PART_BYTES)
+            .rev()
+            .find(|at| rest.is_char_boundary(*at))
+            .unwrap_or(rest.len());
+        let (chunk, tail) = rest.split_at(at);
+        chunks.push(chunk);
+        rest = tail;
+    }
+    chunks.push(rest);
+    chunks
+}
--- /dev/null
+++ b/crates/filbertgrade/src/process/command/write.rs
@@ -0,0 +1,134 @@
+//! Conditional writes whose outcome is known even when an answer is lost.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::CommandError;
+use crate::platform::{Condition, Object, Platform, PlatformError, Revision};
+
+/// How long the outcome of an unanswered write is looked for. It covers
+/// several calls of 2 s each.
+const RESOLVE_WITHIN: Duration = Duration::from_secs(10);
+
+/// Pause between two attempts to learn the outcome.
+const RESOLVE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Outcome of a conditional write.
+#[derive(Debug)]
+pub(super) enum Written {
+    /// The store answered that the write took effect.
+    Answered(Revision),
+    /// The answer was lost, and the object shows that the write took effect.
+    Found(Object),
+    /// The condition did not hold; the object as it is now, if it exists.
+    Lost(Option<Object>),
+}
+
+/// Writes `value` if `condition` holds. `is_own` tells from the object whether
+/// this write is what it holds or comes after.
+///
+/// An unanswered write may still be on its way, so an object without it
+/// proves nothing. The same conditional write is then sent again: it either
+/// takes effect or fails its condition for good.
+pub(super) async fn write(
+    platform: &dyn Platform,
+    name: &str,
+    value: Bytes,
+    condition: Condition,
+    is_own: impl Fn(&Object) -> bool,
+) -> Result<Written, CommandError> {
+    let deadline = Instant::now() + RESOLVE_WITHIN;
+    let mut unanswered = false;
+    loop {
+        let error = match platform.put(name, value.clone(), condition).await {
+            Ok(revision) => return Ok(Written::Answered(revision)),
+            Err(error) if error.is_conflict() => {
+                let at_least = error.current_revision().unwrap_or(0);
+                match read_from(platform, name, at_least, deadline).await {
+                    Ok(Some(object)) if is_own(&object) => return Ok(Written::Found(object)),
+                    Ok(object) => return Ok(Written::Lost(object)),
+                    Err(error) => error,
+                }
+            }
+            Err(error) => {
+                unanswered |= error.is_outcome_unknown();
+                if !unanswered {
+                    return Err(error.into());
+                }
+                if let Ok(Some(object)) = platform.get(name).await
+                    && is_own(&object)
+                {
+                    return Ok(Written::Found(object));
+                }
+                error
+            }
+        };
+        if Instant::now() >= deadline {
+            return Err(if unanswered {
+                CommandError::Unknown(error)
+            } else {
+                error.into()
+            });
+        }
+        tokio::time::sleep(RESOLVE_PAUSE).await;
+    }
+}
+
+/// Removes an object that is at `revision`; the revision after the removal.
+/// `None` when another operator changed the object first.
+pub(super) async fn remove(
+    platform: &dyn Platform,
+    name: &str,
+    revision: Revision,
+) -> Result<Option<Revision>, CommandError> {
+    let deadline = Instant::now() + RESOLVE_WITHIN;
+    let mut unanswered = false;
+    loop {
+        let error = match platform.delete(name, revision).await {
+            Ok(revision) => return Ok(Some(revision)),
+            Err(error) if error.is_conflict() && error.current_revision().is_some() => {
+                return Ok(None);
+            }
+            // The object is gone. A list tells a revision after its removal.
+            Err(error) if error.is_conflict() => match platform.list(&[name]).await {
+                Ok(listed) => return Ok(Some(listed.revision)),
+                Err(error) => error,
+            },
+            Err(error) => {
+                unanswered |= error.is_outcome_unknown();
+                if !unanswered {
+                    return Err(error.into());
+                }
+                error
+            }
+        };
+        if Instant::now() >= deadline {
+            return Err(CommandError::Unknown(error));
+        }
+        tokio::time::sleep(RESOLVE_PAUSE).await;
+    }
+}
+
+/// Reads an object that is known to have reached revision `at_least`; a read
+/// may come from a replica that lags.
+async fn read_from(
+    platform: &dyn Platform,
+    name: &str,
+    at_least: Revision,
+    deadline: Instant,
+) -> Result<Option<Object>, PlatformError> {
+    loop {
+        let read = platform.get(name).await;
+        let lags = match &read {
+            Ok(Some(object)) => object.revision < at_least,
+            Ok(None) => at_least > 0,
+            Err(_) => true,
+        };
+        if !lags || Instant::now() >= deadline {
+            return read;
+        }
+        tokio::time::sleep(RESOLVE_PAUSE).await;
+    }
+}
--- a/crates/filbertgrade/src/process/entry/feed.rs
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -76,8 +76,10 @@
 }
 
 fn report(entry: &Entry) -> Report {
+    let view = entry.in_force.load();
     Report {
-        revision: entry.in_force.load().revision,
+        revision: view.revision,
+        config_version: view.config_version,
         share_table_revision: 0,
     }
 }
--- a/crates/filbertgrade/src/process/settings.rs
+++ b/crates/filbertgrade/src/process/settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
+use std::time::Duration;
 
 use filbertgrade_coord::names::{FailureDomainName, RegionName, VmName};
 
@@ -76,6 +77,32 @@
     pub agent_operator_port: Option<String>,
 }
 
+/// Longest wait of a command by default: twice the time in which a change is
+/// in force everywhere, rounded down.
+const WAIT_LIMIT_MS: u64 = 15_000;
+
+/// Settings of the operators' commands.
+#[derive(Clone, Debug)]
+pub struct CommandSettings {
+    /// Address of the platform's object API.
+    pub store: SocketAddr,
+    /// Port of the agents, the same on every VM.
+    pub agent_peer_port: u16,
+    /// Longest wait for the fleet to confirm a change. Zero asks once.
+    pub wait_limit: Duration,
+}
+
+/// Settings of a command as text, before they are checked.
+#[derive(Clone, Debug, Default)]
+pub struct CommandFlags {
+    /// `--store`
+    pub store: Option<String>,
+    /// `--agent-peer-port`
+    pub agent_peer_port: Option<String>,
+    /// `--wait-limit-ms`
+    pub wait_limit_ms: Option<String>,
+}
+
 /// All faults of a process's settings.
 #[derive(Debug)]
 pub struct SettingsError {
@@ -83,6 +110,12 @@
 }
 
 impl SettingsError {
+    pub(crate) fn new(fault: &str) -> Self {
+        Self {
+            faults: vec![fault.to_owned()],
+        }
+    }
+
     /// One line for each fault.
     #[must_use]
     pub fn faults(&self) -> &[String] {
@@ -156,6 +189,37 @@
     }
 }
 
+impl CommandSettings {
+    /// Checks flags and environment variables, as [`NodeSettings::resolve`].
+    ///
+    /// # Errors
+    ///
+    /// Lists every missing or malformed setting.
+    pub fn resolve(
+        flags: CommandFlags,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let mut reader = Reader {
+            env,
+            faults: Vec::new(),
+        };
+        let port = Ports::default().agent_peer;
+        let store = reader.required("store", flags.store);
+        let agent_peer_port = reader.optional("agent-peer-port", flags.agent_peer_port, port);
+        let wait_ms = reader.optional("wait-limit-ms", flags.wait_limit_ms, WAIT_LIMIT_MS);
+        match store {
+            Some(store) if reader.faults.is_empty() => Ok(Self {
+                store,
+                agent_peer_port,
+                wait_limit: Duration::from_millis(wait_ms),
+            }),
+            _ => Err(SettingsError {
+                faults: reader.faults,
+            }),
+        }
+    }
+}
+
 struct Reader<E> {
     env: E,
     faults: Vec<String>,
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -16,6 +16,11 @@
 /// Name of the object that makes a configuration visible.
 pub const CONFIG_ROOT: &str = "config/root";
 
+/// Applies that a root names, so that an operator whose answer was lost learns
+/// the outcome although others applied since. At one apply every second, an
+/// id stays longer than the 10 s in which an outcome is looked for.
+pub const RECENT_APPLIES: usize = 16;
+
 /// The root of a configuration: the parts that make up its text.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigRoot {
@@ -25,6 +30,19 @@
     pub apply_id: String,
     /// SHA-256 digests of the parts, in order.
     pub parts: Vec<String>,
+    /// The last applies, this one included, oldest first; at most
+    /// [`RECENT_APPLIES`].
+    #[serde(default)]
+    pub recent: Vec<AppliedVersion>,
+}
+
+/// An accepted run of `apply`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AppliedVersion {
+    /// Version that it wrote.
+    pub version: u64,
+    /// Its id.
+    pub apply_id: String,
 }
 
 /// Everything that requests are decided on, as of one revision.
--- a/crates/filbertgrade/src/version/keys.rs
+++ b/crates/filbertgrade/src/version/keys.rs
@@ -138,6 +138,15 @@
     Withdrawn,
 }
 
+impl fmt::Display for KeyState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Granted => "granted",
+            Self::Withdrawn => "withdrawn",
+        })
+    }
+}
+
 /// Keys in force.
 #[derive(Clone, Debug, Default)]
 pub struct KeyTable {
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -14,6 +14,6 @@
 };
 pub(crate) use delta::{apply_delta, delta_for};
 pub use fleet::{VmRecord, VmState};
-pub use in_force::{CONFIG_ROOT, ConfigRoot, InForce};
+pub use in_force::{AppliedVersion, CONFIG_ROOT, ConfigRoot, InForce, RECENT_APPLIES};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
 pub use names::ServiceName;
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -125,6 +125,9 @@
     /// Revision of the share table that is fully in effect in every ledger.
     #[prost(uint64, tag = "2")]
     pub share_table_revision: u64,
+    /// Version of the configuration in force in the entry.
+    #[prost(uint64, tag = "10")]
+    pub config_version: u64,
 }
 
 /// Asks a peer agent for newer state.
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -1,7 +1,7 @@
 //! A small fleet of real processes between in-process stand-ins.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -158,11 +158,15 @@
         });
     }
 
+    /// Text of the fleet's configuration.
+    pub(crate) fn config(&self) -> String {
+        CONFIG.replace("OCTET", &self.octet.to_string())
+    }
+
     /// Applies the fleet's configuration with the command line.
     pub(crate) async fn apply(&self) {
         let file = tempfile::NamedTempFile::new().unwrap();
-        let text = CONFIG.replace("OCTET", &self.octet.to_string());
-        std::fs::write(file.path(), text).unwrap();
+        std::fs::write(file.path(), self.config()).unwrap();
         let output = self
             .command(&["apply", file.path().to_str().unwrap()])
             .await;
@@ -231,12 +235,16 @@
     ))
 }
 
-async fn run(args: &[&str]) -> String {
+/// Runs a command to its end, whatever it exits with.
+pub(crate) async fn invoke(args: &[&str]) -> Output {
     let args: Vec<String> = args.iter().map(ToString::to_string).collect();
-    let output =
-        tokio::task::spawn_blocking(move || Command::new(BINARY).args(args).output().unwrap())
-            .await
-            .unwrap();
+    tokio::task::spawn_blocking(move || Command::new(BINARY).args(args).output().unwrap())
+        .await
+        .unwrap()
+}
+
+async fn run(args: &[&str]) -> String {
+    let output = invoke(args).await;
     assert!(
         output.status.success(),
         "{}",
--- /dev/null
+++ b/crates/filbertgrade/tests/operators/drain.rs
@@ -0,0 +1,73 @@
+//! `drain` against real processes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+use crate::fleet::{Fleet, send};
+use crate::run;
+
+async fn first_vms(fleet: &Fleet) -> String {
+    let req = Request::get("/v1/lookup?client=10.2.0.7")
+        .header("host", "lookup")
+        .body(Full::<Bytes>::default())
+        .unwrap();
+    let answer = send(fleet.vms[0].callers(), req).await.unwrap();
+    String::from_utf8(answer.body().to_vec()).unwrap()
+}
+
+/// Guards against a drain that is reported as in force while a VM still names
+/// the drained one, and against drains of things that do not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_returns_when_it_is_in_force_and_undo_ends_it() {
+    let fleet = Fleet::start(2).await;
+    for args in [["drain", "vm", "vm-9"], ["drain", "region", "north"]] {
+        assert_eq!(run(&fleet, &args).await.code, 5);
+    }
+    fleet.apply().await;
+    let ran = run(&fleet, &["drain", "vm", "vm-2"]).await;
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(ran.out, "drain of vm vm-2 is in force on 2 VMs\n");
+    assert!(!first_vms(&fleet).await.contains("vm-2"));
+
+    fleet.platform.lose_next_answers(1);
+    let ran = run(&fleet, &["drain", "vm", "vm-2", "--undo"]).await;
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(first_vms(&fleet).await.contains("vm-2"));
+    let ran = run(&fleet, &["drain", "vm", "vm-2", "--undo"]).await;
+    assert_eq!(ran.out, "vm vm-2 was not drained\n");
+
+    let server = fleet.backends[0].addr().to_string();
+    assert_eq!(run(&fleet, &["drain", "server", &server]).await.code, 0);
+    assert_eq!(run(&fleet, &["drain", "region", "south"]).await.code, 0);
+    let names = fleet.platform.names("drains/");
+    let expected = [
+        "drains/region/south".to_owned(),
+        format!("drains/server/{server}"),
+    ];
+    assert_eq!(names, expected);
+}
+
+/// Guards against an unanswered write that a command reports as without
+/// effect or waits for without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_goes_silent_leaves_the_outcome_unknown() {
+    let fleet = Fleet::start(0).await;
+    fleet.apply().await;
+    let start = std::time::Instant::now();
+    let silent = async {
+        fleet.platform.lose_next_answers(u64::MAX);
+        while fleet.platform.names("drains/").is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.platform.set_down(true);
+    };
+    // Delays give the test time to change the store between two calls.
+    fleet.platform.set_delay(Duration::from_millis(200));
+    let args = ["drain", "region", "south"];
+    let (ran, ()) = tokio::join!(run(&fleet, &args), silent);
+    assert_eq!(ran.code, 7, "{ran:?}");
+    assert!(start.elapsed() < Duration::from_secs(20));
+}
--- a/crates/filbertgrade/tests/operators/main.rs
+++ b/crates/filbertgrade/tests/operators/main.rs
@@ -6,4 +6,52 @@
     reason = "a set-up step that fails must fail the test"
 )]
 
+mod apply;
 mod config;
+mod drain;
+#[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "the harness serves more than these tests")]
+mod fleet;
+mod key;
+mod platform;
+
+use std::io::Write;
+
+use self::fleet::{Fleet, invoke};
+
+/// What a command printed and exited with.
+#[derive(Debug)]
+struct Ran {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+/// Runs a command against the fleet's store, `--store` included.
+async fn run(fleet: &Fleet, args: &[&str]) -> Ran {
+    let store = fleet.platform.addr().to_string();
+    let (command, rest) = args.split_first().unwrap();
+    let mut args = vec![*command, "--store", &store];
+    args.extend(rest);
+    let output = invoke(&args).await;
+    Ran {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// A configuration file that lives as long as the value.
+struct File(tempfile::NamedTempFile);
+
+impl File {
+    fn new(text: &str) -> Self {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(text.as_bytes()).unwrap();
+        Self(file)
+    }
+
+    fn path(&self) -> &str {
+        self.0.path().to_str().unwrap()
+    }
+}
