--- a/crates/filbertgrade/src/process/command/apply.rs
+++ b/crates/filbertgrade/src/process/command/apply.rs
@@ -1,6 +1,7 @@
 //! `apply` and `diff`: put a configuration in force as a whole.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::path::PathBuf;
 
 use bytes::Bytes;
@@ -30,7 +31,9 @@
 ) -> Result<(), CommandError> {
     let config = stored::read_files(files)?;
     let platform = HttpPlatform::new(settings.store, None);
-    let version = put_in_force(&platform, &config).await?;
+    let outcome = put_in_force(&platform, &config).await?;
+    println!("{outcome}");
+    let version = outcome.version();
     if wait {
         let vms = confirm::wait(&platform, settings, Scope::EveryVm, |reply| {
             let entry = reply.entry.as_ref();
@@ -71,40 +74,90 @@
     Ok(())
 }
 
-async fn put_in_force(platform: &dyn Platform, config: &Config) -> Result<u64, CommandError> {
+/// Applies the text of one file and returns its version.
+pub(crate) async fn apply_text(platform: &dyn Platform, text: &str) -> Result<u64, CommandError> {
+    let outcome = put_in_force(platform, &Config::parse(text)?).await?;
+    Ok(outcome.version())
+}
+
+/// What became of an apply that did not fail.
+#[derive(Debug)]
+enum Outcome {
+    Unchanged {
+        version: u64,
+    },
+    Accepted {
+        version: u64,
+    },
+    /// The answer was lost; the root is at version `now`.
+    Found {
+        version: u64,
+        now: u64,
+    },
+}
+
+impl Outcome {
+    fn version(&self) -> u64 {
+        match *self {
+            Self::Unchanged { version }
+            | Self::Accepted { version }
+            | Self::Found { version, .. } => version,
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Self::Unchanged { version } => {
+                write!(f, "unchanged: version {version} has this content")
+            }
+            Self::Accepted { version } => write!(f, "accepted as version {version}"),
+            Self::Found { version, now } => {
+                write!(f, "accepted as version {version}; ")?;
+                write!(
+                    f,
+                    "the store's answer was lost, and the root names this apply"
+                )?;
+                if now != version {
+                    write!(f, "; version {now} has replaced it since")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+async fn put_in_force(platform: &dyn Platform, config: &Config) -> Result<Outcome, CommandError> {
     let StoredRoot { root, condition } = stored::read_root(platform).await?;
     let parts = stored::parts(config);
     let digests: Vec<String> = parts.iter().map(|(digest, _)| digest.clone()).collect();
     if let Some(root) = &root {
         if root.parts == digests {
-            println!("unchanged: version {} has this content", root.version);
-            return Ok(root.version);
+            let version = root.version;
+            return Ok(Outcome::Unchanged { version });
         }
         check_running(platform, root, config).await?;
     }
     write_parts(platform, root.as_ref(), &parts).await?;
     let next = next_root(root.as_ref(), digests);
+    let version = next.version;
     let value = encode(CONFIG_ROOT, &next)?;
     let own = |object: &Object| applied_version(object, &next.apply_id).is_some();
+    let version_of = |object: Option<Object>| {
+        let value = object.and_then(|object| object.value).unwrap_or_default();
+        stored::decode_root(&value).map(|root| root.version)
+    };
     match write(platform, CONFIG_ROOT, value, condition, own).await? {
-        Written::Answered(_) => println!("accepted as version {}", next.version),
-        Written::Found(object) => {
-            println!(
-                "accepted as version {}; the store's answer was lost, and the root names this apply",
-                next.version
-            );
-            let root = stored::decode_root(object.value.as_deref().unwrap_or_default())?;
-            if root.version != next.version {
-                println!("version {} has replaced it since", root.version);
-            }
-        }
-        Written::Lost(object) => {
-            let value = object.and_then(|object| object.value).unwrap_or_default();
-            let winner = stored::decode_root(&value)?.version;
-            return Err(CommandError::Conflict { winner });
-        }
+        Written::Answered(_) => Ok(Outcome::Accepted { version }),
+        Written::Found(object) => Ok(Outcome::Found {
+            version,
+            now: version_of(Some(object))?,
+        }),
+        Written::Lost(object) => Err(CommandError::Conflict {
+            winner: version_of(object)?,
+        }),
     }
-    Ok(next.version)
 }
 
 fn next_root(root: Option<&ConfigRoot>, parts: Vec<String>) -> ConfigRoot {
--- a/crates/filbertgrade/src/process/command/mod.rs
+++ b/crates/filbertgrade/src/process/command/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod confirm;
+mod dev;
 mod drain;
 mod error;
 pub mod flags;
@@ -11,18 +12,20 @@
 mod stored;
 mod write;
 
+pub use self::dev::{DevError, dev};
 use self::drain::DrainKind;
 pub use self::error::CommandError;
 use self::flags::{DrainCmd, FilbertgradeCmd, KeyCmd};
 
-/// Runs one operators' command; the daemons are not among them.
+/// Runs one operators' command; the daemons and `dev` are not
+/// among them.
 ///
 /// # Errors
 ///
 /// Fails as the command does; [`CommandError::exit_code`] tells scripts why.
 pub async fn run(command: FilbertgradeCmd) -> Result<(), CommandError> {
     match command {
-        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) => Ok(()),
+        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) | FilbertgradeCmd::Dev(_) => Ok(()),
         FilbertgradeCmd::Check(flags) => check::check(&flags.file),
         FilbertgradeCmd::Diff(flags) => {
             let settings = flags::command_settings(flags.store, None, None)?;
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod in_force;
 mod keys;
 mod names;
+mod shares;
 
 pub use config::{
     Access, Config, ConfigChange, ConfigError, ConfigFile, ConfigLine, ConfigValue, Fault, Network,
@@ -17,3 +18,4 @@
 pub use in_force::{AppliedVersion, CONFIG_ROOT, ConfigRoot, InForce, RECENT_APPLIES};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
 pub use names::ServiceName;
+pub(crate) use shares::{SHARE_TABLE, decode as decode_share_table, encode as encode_share_table};
