--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -14,7 +14,8 @@
 
 use crate::connection::PeerLink;
 use crate::platform::HttpPlatform;
-use crate::process::command::apply::{ApplyError, apply_text};
+use crate::process::command::CommandError;
+use crate::process::command::apply::apply_text;
 use crate::process::settings::{NodeSettings, Ports};
 use crate::process::{agent, entry};
 use crate::version::{Config, ConfigError, KeyRecord, KeySecret, KeyState, VmRecord, VmState};
@@ -62,7 +63,7 @@
     },
     /// The configuration was not accepted.
     #[error(transparent)]
-    Apply(#[from] ApplyError),
+    Apply(#[from] CommandError),
     /// A name of a VM is malformed.
     #[error(transparent)]
     Name(#[from] NameError),
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -158,13 +158,11 @@
 
     /// Answers another entry that extends a permit.
     pub(crate) fn serve_renewal(&self, view: &InForce, message: wire::RenewPermit) -> Body {
-        let id = BookId {
-            service: message.service.as_str().into(),
-            region: match message.region.as_str().try_into() {
-                Ok(region) => region,
-                Err(_) => return denied(DeniedCause::Unknown),
-            },
+        let service = message.service.as_str().try_into();
+        let (Ok(service), Ok(region)) = (service, message.region.as_str().try_into()) else {
+            return denied(DeniedCause::Unknown);
         };
+        let id = BookId { service, region };
         if !self.owns(view, &id) {
             return denied(DeniedCause::NotOwner);
         }
@@ -183,13 +181,11 @@
 
     /// Takes back a slot that another entry used.
     pub(crate) fn serve_release(&self, message: &wire::Release) {
-        let Ok(region) = message.region.as_str().try_into() else {
+        let service = message.service.as_str().try_into();
+        let (Ok(service), Ok(region)) = (service, message.region.as_str().try_into()) else {
             return;
         };
-        let id = BookId {
-            service: message.service.as_str().into(),
-            region,
-        };
+        let id = BookId { service, region };
         if let (Some(book), Some(permit)) = (self.shared.books().get_mut(&id), message.permit) {
             book.release(Instant::now(), permit.into());
         }
@@ -354,7 +350,7 @@
     ) -> Result<(wire::PermitId, SocketAddr), DeniedCause> {
         let unknown = |_| DeniedCause::Unknown;
         let id = BookId {
-            service: message.service.as_str().into(),
+            service: message.service.as_str().try_into().map_err(unknown)?,
             region: message.region.as_str().try_into().map_err(unknown)?,
         };
         if !self.owns(view, &id) {
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -9,10 +9,13 @@
 mod names;
 mod shares;
 
-pub use config::{Access, Config, ConfigError, Network, RegionConfig, ServiceConfig, TeamConfig};
+pub use config::{
+    Access, Config, ConfigChange, ConfigError, ConfigFile, ConfigLine, ConfigValue, Fault, Network,
+    RegionConfig, ServiceConfig, TeamConfig,
+};
 pub(crate) use delta::{apply_delta, delta_for};
 pub use fleet::{VmRecord, VmState};
-pub use in_force::{CONFIG_ROOT, ConfigRoot, InForce};
+pub use in_force::{AppliedVersion, CONFIG_ROOT, ConfigRoot, InForce, RECENT_APPLIES};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
 pub use names::ServiceName;
 pub(crate) use shares::{SHARE_TABLE, decode as decode_share_table, encode as encode_share_table};
