--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -58,22 +58,23 @@
         };
         self.revision = Some(view.revision);
         let mut addresses = HashMap::new();
+        let mut pending = Vec::new();
         for endpoint in view.endpoints(&id.service, &id.region) {
             let name = endpoint_name(endpoint.address);
             let late = self
                 .book
                 .set_endpoint(now, name.clone(), endpoint.slots, temperature);
-            self.deliver(now, late);
-            let late = self.book.set_draining(now, &name, endpoint.drained);
+            pending.extend(late);
+            pending.extend(self.book.set_draining(now, &name, endpoint.drained));
             addresses.insert(name, endpoint.address);
-            self.deliver(now, late);
         }
-        for name in self.addresses.keys() {
-            if !addresses.contains_key(name) {
-                self.book.remove_endpoint(name);
-            }
+        let former = std::mem::replace(&mut self.addresses, addresses);
+        for name in former.keys().filter(|n| !self.addresses.contains_key(*n)) {
+            let late = self.book.remove_endpoint(now, name);
+            pending.extend(late);
         }
-        self.addresses = addresses;
+        // Grants name endpoints, so all addresses must be known by now.
+        self.deliver(now, pending);
     }
 
     pub(super) fn acquire(
--- a/crates/filbertgrade/tests/operators/drain.rs
+++ b/crates/filbertgrade/tests/operators/drain.rs
@@ -39,7 +39,7 @@
     let ran = run(&fleet, &["drain", "vm", "vm-2", "--undo"]).await;
     assert_eq!(ran.out, "vm vm-2 was not drained\n");
 
-    let server = fleet.backends[0].addr().to_string();
+    let server = fleet.proxies[0].addr().to_string();
     assert_eq!(run(&fleet, &["drain", "server", &server]).await.code, 0);
     assert_eq!(run(&fleet, &["drain", "region", "south"]).await.code, 0);
     let names = fleet.platform.names("drains/");
