--- a/crates/filbertgrade-coord/src/ledger.rs
+++ b/crates/filbertgrade-coord/src/ledger.rs
@@ -64,14 +64,15 @@
     /// Shortest time between two asks. Default 50 ms.
     pub ask_interval: Duration,
     /// Time in which waiting requests should get a token. Default 500 ms, the
-    /// longest time that a request waits.
+    /// longest time that a request waits. Less than 1 ms counts as 1 ms.
     pub backlog_target: Duration,
     /// Fraction of the demand that an ask wants at least. Default 0.2.
     ///
     /// With 0, slowly growing demand makes a loan per ask interval. A high
     /// fraction borrows what others may need.
     pub smallest_ask: f64,
-    /// Time constant of the measured arrival rate. Default 1 s.
+    /// Time constant of the measured arrival rate. Default 1 s. Less than 1 ms
+    /// counts as 1 ms.
     pub demand_window: Duration,
     /// Factor on the measured arrival rate when it is compared with a rate. Default 1.1.
     pub demand_headroom: f64,
@@ -452,7 +453,7 @@
         }
         let part = self.bucket.part();
         let demand = self.arrivals.per_second(now) * self.cfg.demand_headroom;
-        let backlog = f64::from(self.waiting) / self.cfg.backlog_target.as_secs_f64();
+        let backlog = f64::from(self.waiting) / seconds(self.cfg.backlog_target);
         let tokens = (f64::from(self.waiting) - self.bucket.tokens()).max(0.0);
         let missing = (demand + backlog - part.rate()).max(0.0);
         // While the bucket is more than half full, a burst is not yet demand.
@@ -535,6 +536,8 @@
     }
 
     /// Credits a parcel, once per loan, until a lease after its ask was sent.
+    ///
+    /// The caller then calls [`ShareLedger::retry`] for the waiting requests.
     pub fn credit(&mut self, now: Instant, parcel: &Parcel) -> Credit {
         self.advance(now);
         if !holds(parcel.part, parcel.tokens) {
@@ -855,16 +858,21 @@
     }
 
     fn record(&mut self, now: Instant) {
-        self.per_second = self.per_second(now) + 1.0 / self.window.as_secs_f64();
+        self.per_second = self.per_second(now) + 1.0 / seconds(self.window);
         self.updated_at = self.updated_at.max(now);
     }
 
     fn per_second(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated_at);
-        self.per_second * (-age.as_secs_f64() / self.window.as_secs_f64()).exp()
+        self.per_second * (-age.as_secs_f64() / seconds(self.window)).exp()
     }
 }
 
+/// Seconds to divide by: at least one millisecond, so that rates stay finite.
+fn seconds(duration: Duration) -> f64 {
+    duration.as_secs_f64().max(1e-3)
+}
+
 /// Reports whether a part may hold that many tokens.
 fn holds(part: Part, tokens: f64) -> bool {
     (0.0..=part.burst()).contains(&tokens)
