Keep a request away from endpoints that refused it

A slot book could give a request the endpoint again that had refused it a moment before, because that endpoint was the least loaded. Ruled out: cooling the endpoint down alone, which leaves one slot open.

--- a/crates/filbertgrade-coord/examples/slot_turns.rs
+++ b/crates/filbertgrade-coord/examples/slot_turns.rs
@@ -20,6 +20,7 @@
             holder: VmName::try_from("gent-a-1")?,
             origin: Origin::Local,
             deadline: now + Duration::from_secs(1),
+            avoid: Vec::new(),
         };
         match book.acquire(now, request) {
             Acquire::Granted(grant) => {
--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -74,6 +74,8 @@
     pub origin: Origin,
     /// The request is refused once its slot would come later than this.
     pub deadline: Instant,
+    /// Endpoints that already refused this request.
+    pub avoid: Vec<EndpointName>,
 }
 
 /// Where a request comes from, seen from the slot book's region.
@@ -304,13 +306,13 @@
 
     /// Grants a slot, queues the request, or refuses it.
     pub fn acquire(&mut self, now: Instant, request: SlotRequest) -> Acquire {
-        if self.is_closed() {
+        if self.is_closed_to(&request.avoid) {
             return Acquire::Refused(SlotRefusal::NoEndpoint);
         }
         if request.deadline <= now {
             return Acquire::Refused(SlotRefusal::Deadline);
         }
-        if let Some(endpoint) = self.pick(now, request.origin)
+        if let Some(endpoint) = self.pick(now, request.origin, &request.avoid)
             && !self.is_anyone_ahead(now)
         {
             return Acquire::Granted(self.grant(now, endpoint));
@@ -342,6 +344,11 @@
         self.serve(now)
     }
 
+    /// The endpoint of a permit that has not ended.
+    pub fn endpoint_of(&self, permit: PermitId) -> Option<&EndpointName> {
+        self.permits.get(&permit).map(|permit| &permit.endpoint)
+    }
+
     /// Extends a permit by a lease from `now`.
     pub fn renew(&mut self, now: Instant, permit: PermitId) -> PermitRenewal {
         match self.permits.get_mut(&permit) {
@@ -451,7 +458,14 @@
 
     /// Reports whether no endpoint takes new requests.
     fn is_closed(&self) -> bool {
-        self.endpoints.values().all(|e| e.draining || e.slots == 0)
+        self.is_closed_to(&[])
+    }
+
+    /// Reports whether no endpoint takes a request that avoids some of them.
+    fn is_closed_to(&self, avoid: &[EndpointName]) -> bool {
+        self.endpoints
+            .iter()
+            .all(|(name, e)| e.draining || e.slots == 0 || avoid.contains(name))
     }
 
     fn waiting(&self) -> usize {
@@ -466,11 +480,9 @@
         if self.queues.is_empty() {
             return false;
         }
-        let remote = self.pick(now, Origin::Remote).is_some();
-        self.queues
-            .values()
-            .flatten()
-            .any(|w| w.request.deadline > now && (remote || w.request.origin == Origin::Local))
+        self.queues.values().flatten().any(|w| {
+            w.request.deadline > now && self.pick(now, w.request.origin, &w.request.avoid).is_some()
+        })
     }
 
     /// Gives free slots to waiting requests, one team after the other.
@@ -489,7 +501,9 @@
             // back the local ones behind it.
             let found = queue.iter().enumerate().find_map(|(i, w)| {
                 let live = w.request.deadline > now;
-                let endpoint = live.then(|| self.pick(now, w.request.origin)).flatten();
+                let endpoint = live
+                    .then(|| self.pick(now, w.request.origin, &w.request.avoid))
+                    .flatten();
                 endpoint.map(|e| (i, e))
             });
             let Some((i, endpoint)) = found else {
@@ -512,7 +526,7 @@
     }
 
     /// The least loaded endpoint with a free slot, unless the reserve forbids it.
-    fn pick(&self, now: Instant, origin: Origin) -> Option<EndpointName> {
+    fn pick(&self, now: Instant, origin: Origin, avoid: &[EndpointName]) -> Option<EndpointName> {
         let step = self.cfg.ramp_step;
         let live = || self.endpoints.iter().filter(|(_, e)| !e.draining);
         if origin == Origin::Remote {
@@ -524,7 +538,7 @@
             }
         }
         live()
-            .filter(|(_, e)| e.free(now, step) > 0)
+            .filter(|(name, e)| e.free(now, step) > 0 && !avoid.contains(name))
             .min_by(|(_, a), (_, b)| {
                 // Compares in_use / open without division.
                 let load_a = u64::from(a.in_use) * u64::from(b.open(now, step));
--- a/crates/filbertgrade-coord/tests/slots/main.rs
+++ b/crates/filbertgrade-coord/tests/slots/main.rs
@@ -114,14 +114,18 @@
                     _ => Origin::Local,
                 };
                 let deadline = args.next_pos().unwrap_or("10000").parse()?;
+                let count: u32 = args.next_pos().unwrap_or("1").parse()?;
+                let avoid = args.next_pos().map(EndpointName::try_from);
+                let avoid = avoid.transpose()?.into_iter().collect();
                 let request = SlotRequest {
                     team: TeamName::try_from(first)?,
                     holder: VmName::try_from("gent-a-1")?,
                     origin,
                     deadline: now + Duration::from_millis(deadline),
+                    avoid,
                 };
                 let mut out = String::new();
-                for _ in 0..args.next_pos().unwrap_or("1").parse()? {
+                for _ in 0..count {
                     out += &match self.book.acquire(now, request.clone()) {
                         Acquire::Granted(grant) => self.grant(&grant),
                         Acquire::Queued(ticket) => {
@@ -217,6 +221,7 @@
                         holder: VmName::try_from("vm").unwrap(),
                         origin: if team == "remote" { Origin::Remote } else { Origin::Local },
                         deadline: now + Duration::from_millis(u64::from(b) * 20),
+                        avoid: Vec::new(),
                     };
                     if let Acquire::Queued(_) = book.acquire(now, request) {
                         queued += 1;
--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -77,17 +77,7 @@
         self.deliver(now, pending);
     }
 
-    pub(super) fn acquire(
-        &mut self,
-        now: Instant,
-        request: SlotRequest,
-        avoid: &[SocketAddr],
-    ) -> Next {
-        for endpoint in avoid {
-            // The endpoint refused this request a moment ago, so it has less
-            // room than the book believes.
-            self.book.cool_down(now, &endpoint_name(*endpoint));
-        }
+    pub(super) fn acquire(&mut self, now: Instant, request: SlotRequest) -> Next {
         match self.book.acquire(now, request) {
             Acquire::Granted(grant) => Next::Answer(self.located(&grant)),
             Acquire::Refused(refusal) => Next::Answer(Err(refusal)),
@@ -99,7 +89,13 @@
         }
     }
 
-    pub(super) fn release(&mut self, now: Instant, permit: PermitId) {
+    /// Ends a permit. An endpoint that refused has less room than the book
+    /// believes, so it starts a new ramp.
+    pub(super) fn release(&mut self, now: Instant, permit: PermitId, refused: bool) {
+        if refused && let Some(endpoint) = self.book.endpoint_of(permit).cloned() {
+            let late = self.book.cool_down(now, &endpoint);
+            self.deliver(now, late);
+        }
         let late = self.book.release(now, permit);
         self.deliver(now, late);
     }
@@ -165,6 +161,11 @@
     }
 }
 
+/// Names of several endpoints.
+pub(super) fn endpoint_names(addresses: &[SocketAddr]) -> Vec<EndpointName> {
+    addresses.iter().copied().map(endpoint_name).collect()
+}
+
 /// Names an endpoint by its address; names hold no dots and colons.
 fn endpoint_name(address: SocketAddr) -> EndpointName {
     let name = address
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -97,18 +97,18 @@
         if let Some(counted) = self.counted.take() {
             counted.renewal.abort();
             let held = lock(&counted.permit).clone();
-            release(&self.slots, &counted.id, held, self.refused);
+            release(&self.slots, &counted.id, &held, self.refused);
         }
     }
 }
 
 /// Frees a slot at its book. A release that is lost costs the slot until the
 /// permit's lease ends.
-pub(super) fn release(slots: &Slots, id: &BookId, held: HeldPermit, refused: bool) {
+pub(super) fn release(slots: &Slots, id: &BookId, held: &HeldPermit, refused: bool) {
     let shared = &slots.shared;
     if held.owner == shared.settings.vm {
         if let Some(book) = shared.books().get_mut(id) {
-            book.release(Instant::now(), held.permit);
+            book.release(Instant::now(), held.permit, refused);
         }
         return;
     }
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -187,7 +187,7 @@
         };
         let id = BookId { service, region };
         if let (Some(book), Some(permit)) = (self.shared.books().get_mut(&id), message.permit) {
-            book.release(Instant::now(), permit.into());
+            book.release(Instant::now(), permit.into(), message.refused);
         }
     }
 
@@ -256,8 +256,9 @@
             holder: self.shared.settings.vm.clone(),
             origin: self.origin(id),
             deadline,
+            avoid: book::endpoint_names(&ask.avoid),
         };
-        match self.run_book(view, id, request, &ask.avoid).await {
+        match self.run_book(view, id, request).await {
             Ok((permit, endpoint)) => {
                 let owner = self.shared.settings.vm.clone();
                 let held = HeldPermit { owner, permit };
@@ -357,6 +358,11 @@
             return Err(DeniedCause::NotOwner);
         }
         let wait = Duration::from_millis(message.deadline_ms.into()).min(LONGEST_WAIT);
+        let avoid: Vec<SocketAddr> = message
+            .avoid
+            .iter()
+            .filter_map(|a| a.parse().ok())
+            .collect();
         let request = SlotRequest {
             team: message.team.as_str().try_into().map_err(unknown)?,
             holder: message.vm.as_str().try_into().map_err(unknown)?,
@@ -367,31 +373,21 @@
             },
             // A request that must not wait still needs a moment to be served.
             deadline: Instant::now() + wait.max(Duration::from_millis(1)),
+            avoid: book::endpoint_names(&avoid),
         };
-        let avoid: Vec<SocketAddr> = message
-            .avoid
-            .iter()
-            .filter_map(|a| a.parse().ok())
-            .collect();
-        match self.run_book(view, &id, request, &avoid).await {
+        match self.run_book(view, &id, request).await {
             Ok((permit, endpoint)) => Ok((permit.into(), endpoint)),
             Err(SlotRefusal::NoEndpoint) => Err(DeniedCause::NoEndpoint),
             Err(SlotRefusal::Deadline | SlotRefusal::QueueFull) => Err(DeniedCause::Busy),
         }
     }
 
-    async fn run_book(
-        &self,
-        view: &InForce,
-        id: &BookId,
-        request: SlotRequest,
-        avoid: &[SocketAddr],
-    ) -> BookAnswer {
+    async fn run_book(&self, view: &InForce, id: &BookId, request: SlotRequest) -> BookAnswer {
         let (ticket, rx) = {
             let mut books = self.shared.books();
             let book = books.entry(id.clone()).or_insert_with(Book::new);
             book.follow(view, id, Instant::now());
-            match book.acquire(Instant::now(), request, avoid) {
+            match book.acquire(Instant::now(), request) {
                 book::Next::Answer(answer) => return answer,
                 book::Next::Wait(ticket, rx) => (ticket, rx),
             }
