Keep work from endpoints that drain or cannot be reached

The book gave every request to a draining endpoint first, because it was the least loaded, so each was refused once before it ran elsewhere. It now rests for 1 s after such a fault and starts with one request; its rest ends early when no region has another endpoint.

--- a/crates/filbertgrade/src/process/entry/carry.rs
+++ b/crates/filbertgrade/src/process/entry/carry.rs
@@ -14,7 +14,7 @@
 
 use super::Entry;
 use super::answer::{AnswerStream, Body};
-use super::slots::{SlotAsk, SlotGrant};
+use super::slots::{EndpointFault, SlotAsk, SlotGrant};
 use crate::connection::{Busy, Connection, Need, PoolError};
 use crate::request::{
     self, Attempt, AttemptState, Cause, Claim, DEADLINE_HEADER, Evidence, Failure, NextStep,
@@ -296,11 +296,15 @@
         deadline: call.deadline,
     };
     let attempt = Attempt::begin();
-    let mut connection = entry
-        .pool
-        .begin(&need)
-        .await
-        .map_err(|error| not_connected(&error))?;
+    let mut connection = match entry.pool.begin(&need).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            if matches!(error, PoolError::Connect { .. }) {
+                slot.faulted(EndpointFault::Unreachable);
+            }
+            return Err(not_connected(&error));
+        }
+    };
     let (body, body_done) = call.upload.body();
     let Some(req) = request_for(call, endpoint, body) else {
         return Err(not_sent(Failure::DeadlinePassed));
@@ -332,7 +336,10 @@
         Err(_) => return Err(not_sent(Failure::ConnectionLost { reused: true })),
     };
     if let Some(failure) = explicit_refusal(&answer) {
-        slot.refused();
+        slot.faulted(match failure {
+            Failure::Draining => EndpointFault::Draining,
+            _ => EndpointFault::Shed,
+        });
         if answer.body().is_end_stream() && body_done.load(Ordering::Acquire) {
             entry.pool.put_back(connection.finish(Instant::now()));
         }
--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -1,8 +1,8 @@
 //! One slot book with the requests that wait for its slots.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::EndpointName;
 use filbertgrade_coord::slots::{
@@ -11,11 +11,18 @@
 };
 use tokio::sync::oneshot;
 
-use super::BookId;
+use super::{BookId, EndpointFault};
 use crate::platform::Revision;
 use crate::version::InForce;
 use crate::wire;
 
+/// Time without work for an endpoint that says it drains. After it, one
+/// request finds out whether the drain is over.
+const DRAIN_REST: Duration = Duration::from_secs(1);
+
+/// Time without work for an endpoint that cannot be reached.
+const UNREACHABLE_REST: Duration = Duration::from_secs(1);
+
 /// The permit and endpoint that a request got, or why it got none.
 pub(super) type BookAnswer = Result<(PermitId, SocketAddr), SlotRefusal>;
 
@@ -27,6 +34,10 @@
     revision: Option<Revision>,
     addresses: HashMap<EndpointName, SocketAddr>,
     waiting: HashMap<Ticket, oneshot::Sender<BookAnswer>>,
+    /// Endpoints that the view in force drains.
+    drained: HashSet<EndpointName>,
+    /// Endpoints that get nothing until these instants, because of a fault.
+    resting: HashMap<EndpointName, Instant>,
 }
 
 /// What a request does after it asked the book.
@@ -43,6 +54,8 @@
             revision: None,
             addresses: HashMap::new(),
             waiting: HashMap::new(),
+            drained: HashSet::new(),
+            resting: HashMap::new(),
         }
     }
 
@@ -58,6 +71,7 @@
         };
         self.revision = Some(view.revision);
         let mut addresses = HashMap::new();
+        let mut drained = HashSet::new();
         let mut pending = Vec::new();
         for endpoint in view.endpoints(&id.service, &id.region) {
             let name = endpoint_name(endpoint.address);
@@ -65,9 +79,14 @@
                 .book
                 .set_endpoint(now, name.clone(), endpoint.slots, temperature);
             pending.extend(late);
-            pending.extend(self.book.set_draining(now, &name, endpoint.drained));
+            if endpoint.drained {
+                drained.insert(name.clone());
+            }
+            let closed = endpoint.drained || self.resting.contains_key(&name);
+            pending.extend(self.book.set_draining(now, &name, closed));
             addresses.insert(name, endpoint.address);
         }
+        self.drained = drained;
         let former = std::mem::replace(&mut self.addresses, addresses);
         for name in former.keys().filter(|n| !self.addresses.contains_key(*n)) {
             let late = self.book.remove_endpoint(now, name);
@@ -89,17 +108,59 @@
         }
     }
 
-    /// Ends a permit. An endpoint that refused has less room than the book
-    /// believes, so it starts a new ramp.
-    pub(super) fn release(&mut self, now: Instant, permit: PermitId, refused: bool) {
-        if refused && let Some(endpoint) = self.book.endpoint_of(permit).cloned() {
-            let late = self.book.cool_down(now, &endpoint);
-            self.deliver(now, late);
+    /// Ends a permit, and keeps work from an endpoint with a fault.
+    pub(super) fn release(&mut self, now: Instant, permit: PermitId, fault: Option<EndpointFault>) {
+        if let Some(fault) = fault
+            && let Some(endpoint) = self.book.endpoint_of(permit).cloned()
+        {
+            self.note_fault(now, &endpoint, fault);
         }
         let late = self.book.release(now, permit);
         self.deliver(now, late);
     }
 
+    /// An endpoint that shed has less room than the book believes, so it
+    /// starts a new ramp; one that drains or is away gets nothing for a while.
+    fn note_fault(&mut self, now: Instant, endpoint: &EndpointName, fault: EndpointFault) {
+        let rest = match fault {
+            EndpointFault::Shed => None,
+            EndpointFault::Draining => Some(DRAIN_REST),
+            EndpointFault::Unreachable => Some(UNREACHABLE_REST),
+        };
+        if let Some(rest) = rest {
+            self.resting.insert(endpoint.clone(), now + rest);
+            let late = self.book.set_draining(now, endpoint, true);
+            self.deliver(now, late);
+        }
+        let late = self.book.cool_down(now, endpoint);
+        self.deliver(now, late);
+    }
+
+    /// Ends every rest, because there is no other endpoint.
+    pub(super) fn end_all_rests(&mut self, now: Instant) {
+        for until in self.resting.values_mut() {
+            *until = now;
+        }
+        self.end_rests(now);
+    }
+
+    /// Gives work again to endpoints whose rest is over, one request at first.
+    fn end_rests(&mut self, now: Instant) {
+        let over: Vec<EndpointName> = self
+            .resting
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in over {
+            self.resting.remove(&name);
+            let mut late = self.book.cool_down(now, &name);
+            let drained = self.drained.contains(&name);
+            late.extend(self.book.set_draining(now, &name, drained));
+            self.deliver(now, late);
+        }
+    }
+
     /// Extends a permit; one that the book does not know is counted anew.
     pub(super) fn renew_or_adopt(
         &mut self,
@@ -124,6 +185,7 @@
     }
 
     pub(super) fn expire(&mut self, now: Instant) {
+        self.end_rests(now);
         let expired = self.book.expire(now);
         for (ticket, _, refusal) in expired.refused {
             if let Some(tx) = self.waiting.remove(&ticket) {
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -23,7 +23,18 @@
     slots: Slots,
     endpoint: SocketAddr,
     counted: Option<Counted>,
-    refused: bool,
+    fault: Option<EndpointFault>,
+}
+
+/// Why an endpoint did not run a request that it had a slot for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndpointFault {
+    /// It refused because all of its slots were busy.
+    Shed,
+    /// It refused because it is draining.
+    Draining,
+    /// No connection could be made.
+    Unreachable,
 }
 
 /// A slot that a slot book counts.
@@ -75,7 +86,7 @@
             slots,
             endpoint,
             counted,
-            refused: false,
+            fault: None,
         }
     }
 
@@ -84,10 +95,9 @@
         self.endpoint
     }
 
-    /// Frees the slot of an endpoint that refused because it was busy or
-    /// draining.
-    pub(crate) fn refused(mut self) {
-        self.refused = true;
+    /// Frees the slot, and tells the slot book what is wrong with the endpoint.
+    pub(crate) fn faulted(mut self, fault: EndpointFault) {
+        self.fault = Some(fault);
     }
 }
 
@@ -97,18 +107,18 @@
         if let Some(counted) = self.counted.take() {
             counted.renewal.abort();
             let held = lock(&counted.permit).clone();
-            release(&self.slots, &counted.id, &held, self.refused);
+            release(&self.slots, &counted.id, &held, self.fault);
         }
     }
 }
 
 /// Frees a slot at its book. A release that is lost costs the slot until the
 /// permit's lease ends.
-pub(super) fn release(slots: &Slots, id: &BookId, held: &HeldPermit, refused: bool) {
+pub(super) fn release(slots: &Slots, id: &BookId, held: &HeldPermit, fault: Option<EndpointFault>) {
     let shared = &slots.shared;
     if held.owner == shared.settings.vm {
         if let Some(book) = shared.books().get_mut(id) {
-            book.release(Instant::now(), held.permit, refused);
+            book.release(Instant::now(), held.permit, fault);
         }
         return;
     }
@@ -119,7 +129,7 @@
         service: id.service.to_string(),
         region: id.region.to_string(),
         permit: Some(held.permit.into()),
-        refused,
+        fault: wire::EndpointFault::from(fault).into(),
     };
     tokio::spawn(async move {
         let _ = link.notify(Body::Release(release)).await;
@@ -171,6 +181,28 @@
     }
 }
 
+impl From<Option<EndpointFault>> for wire::EndpointFault {
+    fn from(fault: Option<EndpointFault>) -> Self {
+        match fault {
+            None => Self::None,
+            Some(EndpointFault::Shed) => Self::Shed,
+            Some(EndpointFault::Draining) => Self::Draining,
+            Some(EndpointFault::Unreachable) => Self::Unreachable,
+        }
+    }
+}
+
+impl From<wire::EndpointFault> for Option<EndpointFault> {
+    fn from(fault: wire::EndpointFault) -> Self {
+        match fault {
+            wire::EndpointFault::None => None,
+            wire::EndpointFault::Shed => Some(EndpointFault::Shed),
+            wire::EndpointFault::Draining => Some(EndpointFault::Draining),
+            wire::EndpointFault::Unreachable => Some(EndpointFault::Unreachable),
+        }
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -23,7 +23,7 @@
 use self::book::{Book, BookAnswer};
 use self::fallback::Fallback;
 use self::grant::HeldPermit;
-pub(crate) use self::grant::SlotGrant;
+pub(crate) use self::grant::{EndpointFault, SlotGrant};
 use super::links::PeerLinks;
 use crate::process::settings::NodeSettings;
 use crate::request::{Cause, Refusal};
@@ -78,6 +78,34 @@
     pub(crate) avoid: Vec<SocketAddr>,
 }
 
+/// Whether endpoints that rest after a fault may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Resting {
+    /// They are left alone.
+    Left,
+    /// There is nothing else, so their rest ends.
+    Used,
+}
+
+/// How one region is tried.
+#[derive(Debug)]
+struct Tried<'a> {
+    region: &'a RegionName,
+    /// Longest wait in its queue.
+    wait: Duration,
+    resting: Resting,
+}
+
+/// What a slot book is asked.
+#[derive(Clone, Copy, Debug)]
+struct Asked<'a> {
+    ask: &'a SlotAsk,
+    id: &'a BookId,
+    /// Until when the request may wait in the book's queue.
+    deadline: Instant,
+    resting: Resting,
+}
+
 /// What one region answered.
 enum RegionAnswer {
     Granted(SlotGrant),
@@ -109,7 +137,8 @@
     /// Gets a slot, and waits for it if it must, at most until the deadline.
     ///
     /// The own region comes first, then the others without waiting there, and
-    /// last the queue of the own region.
+    /// last the queue of the own region. Endpoints that rest after a fault are
+    /// used only when no region has another one.
     ///
     /// # Errors
     ///
@@ -124,22 +153,37 @@
             return Err(Refusal::not_run(Cause::NoEndpoint));
         };
         let mut busy = false;
-        for (region, wait) in regions.iter().zip(self.first_waits(view)) {
-            match self.try_region(view, ask, region, wait).await {
-                RegionAnswer::Granted(grant) => return Ok(grant),
-                RegionAnswer::Busy => busy = true,
-                RegionAnswer::None => {}
-                RegionAnswer::Silent => {
-                    if let Some(grant) = self.guess(view, ask, region) {
-                        return Ok(grant);
+        for resting in [Resting::Left, Resting::Used] {
+            for (region, wait) in regions.iter().zip(self.first_waits(view)) {
+                let region = Tried {
+                    region,
+                    wait,
+                    resting,
+                };
+                match self.try_region(view, ask, &region).await {
+                    RegionAnswer::Granted(grant) => return Ok(grant),
+                    RegionAnswer::Busy => busy = true,
+                    RegionAnswer::None => {}
+                    RegionAnswer::Silent => {
+                        if let Some(grant) = self.guess(view, ask, region.region) {
+                            return Ok(grant);
+                        }
                     }
                 }
             }
+            if busy {
+                break;
+            }
         }
         if !busy {
             return Err(Refusal::not_run(Cause::NoEndpoint));
         }
-        match self.try_region(view, ask, home, LONGEST_WAIT).await {
+        let queue = Tried {
+            region: home,
+            wait: LONGEST_WAIT,
+            resting: Resting::Left,
+        };
+        match self.try_region(view, ask, &queue).await {
             RegionAnswer::Granted(grant) => Ok(grant),
             _ => Err(Refusal::not_run(Cause::Busy)),
         }
@@ -187,7 +231,7 @@
         };
         let id = BookId { service, region };
         if let (Some(book), Some(permit)) = (self.shared.books().get_mut(&id), message.permit) {
-            book.release(Instant::now(), permit.into(), message.refused);
+            book.release(Instant::now(), permit.into(), message.fault().into());
         }
     }
 
@@ -222,35 +266,34 @@
         std::iter::once(detour).chain(std::iter::repeat(Duration::ZERO))
     }
 
-    async fn try_region(
-        &self,
-        view: &InForce,
-        ask: &SlotAsk,
-        region: &RegionName,
-        wait: Duration,
-    ) -> RegionAnswer {
+    async fn try_region(&self, view: &InForce, ask: &SlotAsk, tried: &Tried<'_>) -> RegionAnswer {
         let id = BookId {
             service: ask.service.clone(),
-            region: region.clone(),
+            region: tried.region.clone(),
         };
         let now = Instant::now();
-        let deadline = ask.deadline.min(now + wait.min(LONGEST_WAIT));
-        match self.owner(view, &id) {
-            Some(owner) if owner == self.shared.settings.vm => {
-                self.try_own_book(view, ask, &id, deadline).await
-            }
-            Some(owner) => self.ask_owner(view, ask, &id, &owner, deadline).await,
+        let deadline = ask.deadline.min(now + tried.wait.min(LONGEST_WAIT));
+        let owner = self.owner(view, &id);
+        let asked = Asked {
+            ask,
+            id: &id,
+            deadline,
+            resting: tried.resting,
+        };
+        match owner {
+            Some(owner) if owner == self.shared.settings.vm => self.try_own_book(view, asked).await,
+            Some(owner) => self.ask_owner(view, asked, &owner).await,
             None => RegionAnswer::Silent,
         }
     }
 
-    async fn try_own_book(
-        &self,
-        view: &InForce,
-        ask: &SlotAsk,
-        id: &BookId,
-        deadline: Instant,
-    ) -> RegionAnswer {
+    async fn try_own_book(&self, view: &InForce, asked: Asked<'_>) -> RegionAnswer {
+        let Asked {
+            ask,
+            id,
+            deadline,
+            resting,
+        } = asked;
         let request = SlotRequest {
             team: team_of(ask),
             holder: self.shared.settings.vm.clone(),
@@ -258,7 +301,7 @@
             deadline,
             avoid: book::endpoint_names(&ask.avoid),
         };
-        match self.run_book(view, id, request).await {
+        match self.run_book(view, id, request, resting).await {
             Ok((permit, endpoint)) => {
                 let owner = self.shared.settings.vm.clone();
                 let held = HeldPermit { owner, permit };
@@ -272,14 +315,13 @@
 
     /// Asks the owner in a task of its own, so that a permit that arrives
     /// after the caller has gone is given back at once.
-    async fn ask_owner(
-        &self,
-        view: &InForce,
-        ask: &SlotAsk,
-        id: &BookId,
-        owner: &VmName,
-        deadline: Instant,
-    ) -> RegionAnswer {
+    async fn ask_owner(&self, view: &InForce, asked: Asked<'_>, owner: &VmName) -> RegionAnswer {
+        let Asked {
+            ask,
+            id,
+            deadline,
+            resting,
+        } = asked;
         let Some(link) = self.shared.links.to(owner) else {
             return RegionAnswer::Silent;
         };
@@ -293,6 +335,7 @@
             deadline_ms: wait.as_millis().try_into().unwrap_or(u32::MAX),
             remote: self.origin(id) == Origin::Remote,
             avoid: ask.avoid.iter().map(ToString::to_string).collect(),
+            resting: resting == Resting::Used,
         });
         let (tx, rx) = oneshot::channel();
         let slots = self.clone();
@@ -375,18 +418,32 @@
             deadline: Instant::now() + wait.max(Duration::from_millis(1)),
             avoid: book::endpoint_names(&avoid),
         };
-        match self.run_book(view, &id, request).await {
+        let resting = if message.resting {
+            Resting::Used
+        } else {
+            Resting::Left
+        };
+        match self.run_book(view, &id, request, resting).await {
             Ok((permit, endpoint)) => Ok((permit.into(), endpoint)),
             Err(SlotRefusal::NoEndpoint) => Err(DeniedCause::NoEndpoint),
             Err(SlotRefusal::Deadline | SlotRefusal::QueueFull) => Err(DeniedCause::Busy),
         }
     }
 
-    async fn run_book(&self, view: &InForce, id: &BookId, request: SlotRequest) -> BookAnswer {
+    async fn run_book(
+        &self,
+        view: &InForce,
+        id: &BookId,
+        request: SlotRequest,
+        resting: Resting,
+    ) -> BookAnswer {
         let (ticket, rx) = {
             let mut books = self.shared.books();
             let book = books.entry(id.clone()).or_insert_with(Book::new);
             book.follow(view, id, Instant::now());
+            if resting == Resting::Used {
+                book.end_all_rests(Instant::now());
+            }
             match book.acquire(Instant::now(), request) {
                 book::Next::Answer(answer) => return answer,
                 book::Next::Wait(ticket, rx) => (ticket, rx),
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -318,6 +318,9 @@
     /// Endpoints that already refused this request.
     #[prost(string, repeated, tag = "7")]
     pub avoid: Vec<String>,
+    /// Ends the rest of endpoints that had a fault: no region has another one.
+    #[prost(bool, tag = "8")]
+    pub resting: bool,
 }
 
 /// The right to run one request on an endpoint.
@@ -396,7 +399,21 @@
     /// The permit.
     #[prost(message, optional, tag = "3")]
     pub permit: Option<PermitId>,
-    /// The endpoint refused the request.
-    #[prost(bool, tag = "4")]
-    pub refused: bool,
+    /// Why the endpoint did not run the request.
+    #[prost(enumeration = "EndpointFault", tag = "4")]
+    pub fault: i32,
+}
+
+/// Why an endpoint did not run a request that it had a slot for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum EndpointFault {
+    /// It ran the request, or the request was not sent.
+    None = 0,
+    /// It refused because all of its slots were busy.
+    Shed = 1,
+    /// It refused because it is draining.
+    Draining = 2,
+    /// No connection could be made.
+    Unreachable = 3,
 }
