--- a/crates/filbertgrade-blocks/examples/measure.rs
+++ b/crates/filbertgrade-blocks/examples/measure.rs
@@ -87,9 +87,12 @@
     });
     drop(flat);
 
-    let deltas: Vec<Value> = [1, 100, 10_000]
-        .map(|count| delta(&table, &entries, count, &mut rng))
-        .into();
+    let base = table.version();
+    let deltas = [1, 100, 10_000].map(|count| {
+        let changes = make_delta(base, &entries, count, &mut rng);
+        delta(&table, &changes)
+    });
+    let delta_ipv6 = delta(&table, &make_v6_delta(base, &entries));
     let copy = copy(&table);
     let scattered = scattered_sites(&entries, &mut rng);
     let swap = swap(&table, &entries, &random, &mut rng);
@@ -102,6 +105,7 @@
         "flat_build_s": flat_build.as_secs_f64(),
         "lookup": lookups,
         "delta": deltas,
+        "delta_ipv6": delta_ipv6,
         "copy": copy,
         "encoded_bytes_with_scattered_sites": scattered,
         "swap": swap,
@@ -310,8 +314,22 @@
     }
 }
 
-fn delta(table: &BlockTable, entries: &[BlockEntry], count: usize, rng: &mut StdRng) -> Value {
-    let delta = make_delta(table.version(), entries, count, rng);
+/// Makes a delta that changes the site of the first IPv6 block.
+fn make_v6_delta(base: Version, entries: &[BlockEntry]) -> BlockDelta {
+    let mut set = entries.to_vec();
+    set.retain(|entry| matches!(entry.prefix, IpNet::V6(_)));
+    set.truncate(1);
+    set.iter_mut()
+        .for_each(|entry| entry.site.0 = (entry.site.0 + 1) % SITES);
+    BlockDelta {
+        base,
+        version: Version(base.0 + 1),
+        set,
+        removed: Vec::new(),
+    }
+}
+
+fn delta(table: &BlockTable, delta: &BlockDelta) -> Value {
     let parts = delta.encode().expect("valid entries");
     let bytes: usize = parts.iter().map(|part| part.bytes().len()).sum();
     let mut apply = Vec::new();
@@ -322,14 +340,14 @@
         black_box(BlockDelta::decode(&parts).expect("valid parts"));
         decode.push(started.elapsed().as_secs_f64() * 1e6);
         let started = Instant::now();
-        let new = table.apply(&delta).expect("a matching delta");
+        let new = table.apply(delta).expect("a matching delta");
         apply.push(started.elapsed().as_secs_f64() * 1e6);
         let started = Instant::now();
         drop(new);
         free.push(started.elapsed().as_secs_f64() * 1e6);
     }
     json!({
-        "entries": count,
+        "entries": delta.set.len() + delta.removed.len(),
         "encoded_bytes": bytes,
         "receive_s_at_11_kb_s": bytes as f64 / 11_000.0,
         "decode_us": median(decode),
--- a/crates/filbertgrade-blocks/src/partial.rs
+++ b/crates/filbertgrade-blocks/src/partial.rs
@@ -19,6 +19,13 @@
     NotLoaded,
 }
 
+/// Converts the result of a look-up in a whole table.
+impl From<Option<SiteId>> for Lookup {
+    fn from(site: Option<SiteId>) -> Lookup {
+        site.map_or(Lookup::NoBlock, Lookup::Site)
+    }
+}
+
 /// Why an answer is the default order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DefaultCause {
@@ -129,9 +136,7 @@
         if !self.has(wide) {
             return Lookup::NotLoaded;
         }
-        self.table
-            .lookup(addr)
-            .map_or(Lookup::NoBlock, Lookup::Site)
+        self.table.lookup(addr).into()
     }
 
     /// Returns the number of chunks that have arrived, and of all chunks.
--- a/crates/filbertgrade-blocks/tests/copy.rs
+++ b/crates/filbertgrade-blocks/tests/copy.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use filbertgrade_blocks::{
-    Answer, BlockDelta, BlockEntry, BlockTable, DefaultCause, DefaultOrder, EncodedTable,
+    Answer, BlockDelta, BlockEntry, BlockTable, ChunkId, DefaultCause, DefaultOrder, EncodedTable,
     FetchConfig, FetchPlan, FetchStep, Lookup, MAX_CHUNK_BYTES, Manifest, PartialTable, PeerId,
     Received, SharedBlockTable, SiteId, Version,
 };
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use proptest::prelude::{any, proptest};
-use proptest::prop_assert;
+use proptest::{prop_assert, prop_assert_eq};
 use rstest::rstest;
 
 /// Enough /24 to fill several chunks, and one IPv6 /32 whose page spans several chunks.
@@ -63,10 +63,7 @@
             match partial.lookup(addr) {
                 Lookup::NotLoaded => {}
                 known => {
-                    assert_eq!(
-                        known,
-                        whole.lookup(addr).map_or(Lookup::NoBlock, Lookup::Site)
-                    );
+                    assert_eq!(known, Lookup::from(whole.lookup(addr)));
                 }
             }
         }
@@ -248,7 +245,7 @@
         for magic in ["FBD1", "FBM1"] {
             let mut bytes = magic.as_bytes().to_vec();
             bytes.extend_from_slice(&body);
-            let digest = filbertgrade_blocks::ChunkId::of(&bytes);
+            let digest = ChunkId::of(&bytes);
             bytes.extend_from_slice(&digest.0);
             if let Ok(delta) = BlockDelta::decode(&[&bytes]) {
                 let decoded_again = BlockDelta { version: Version(u64::MAX), ..delta };
@@ -259,6 +256,34 @@
             }
         }
     }
+
+    // Guards against a panic on a chunk that its manifest names but which no encoder wrote.
+    #[test]
+    fn named_garbage_does_not_panic(records in proptest::collection::vec(
+        (0u8..4, proptest::collection::vec(any::<u8>(), 0..12)), 0..8,
+    )) {
+        let mut chunk = b"FBT1".to_vec();
+        for (step, entries) in &records {
+            chunk.extend_from_slice(&[*step, entries.len() as u8]);
+            chunk.extend_from_slice(entries);
+        }
+        let mut manifest = b"FBM1".to_vec();
+        // Version 1, no entries, one span over all slots: 2 + 2^16 + 2^32, less one.
+        manifest.extend_from_slice(&[1, 0, 0, 0x81, 0x80, 0x84, 0x80, 0x10]);
+        assert!(chunk.len() < 0x80, "the length must fit a varint of one byte");
+        manifest.push(chunk.len() as u8);
+        manifest.extend_from_slice(&ChunkId::of(&chunk).0);
+        manifest.extend_from_slice(&ChunkId::of(&manifest).0);
+        let manifest = Manifest::decode(&manifest).unwrap();
+        let mut partial = PartialTable::new(manifest);
+        if partial.insert(0, &chunk).is_ok() {
+            for seed in 0..20 {
+                prop_assert!(partial.lookup(probe(seed)) != Lookup::NotLoaded);
+            }
+            let is_empty = records.iter().all(|(_, entries)| entries.is_empty());
+            prop_assert_eq!(partial.finish().is_ok(), is_empty);
+        }
+    }
 }
 
 // Guards against input that is read in full before its length is checked.
