Add the operator ports, dump parts and escaped log values

Operators could not see what a process holds without a debugger. Entry and agent now answer /health, /ready, /metrics and /dump on their operator ports; a part of the dump is a closure, so other modules can add theirs.

All errors go through logfmt::value now.

The test harness took an address range by process id alone, and a run with more than twelve fleets collided with itself (address in use). It now claims the first free range.

--- a/crates/filbertgrade/src/connection/link.rs
+++ b/crates/filbertgrade/src/connection/link.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::Framed;
 
 use super::frame::{FrameCodec, FrameError};
+use crate::logfmt;
 use crate::wire::{Body, Frame};
 
 /// Frames that may wait for a slow peer before senders wait too.
@@ -180,7 +181,7 @@
                 tokio::spawn(serve_connection(stream, peer, handler.clone()));
             }
             Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
+                log::warn!("event=accept_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -281,7 +282,10 @@
 }
 
 fn log_broken(peer: SocketAddr, error: &FrameError) {
-    log::warn!("event=link_broken peer={peer} error=\"{error}\"");
+    log::warn!(
+        "event=link_broken peer={peer} error={}",
+        logfmt::value(&error)
+    );
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -16,6 +16,7 @@
 
 use super::Agent;
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::platform::{Condition, PlatformError, Revision};
 use crate::version::{SHARE_TABLE, VmRecord, decode_share_table, encode_share_table};
 use crate::wire::{Body, StatusRequest};
@@ -83,7 +84,7 @@
             LeaseAction::Write { expected, record } => self.write_lease(expected, &record).await,
         };
         if let Err(error) = result {
-            log::warn!("event=lease_failed error=\"{error}\"");
+            log::warn!("event=lease_failed error={}", logfmt::value(&error));
         }
     }
 
@@ -195,7 +196,7 @@
                 next.version(),
                 next.token().get()
             ),
-            Err(error) => log::warn!("event=share_table_failed error=\"{error}\""),
+            Err(error) => log::warn!("event=share_table_failed error={}", logfmt::value(&error)),
         }
     }
 
--- /dev/null
+++ b/crates/filbertgrade/src/process/agent/dump.rs
@@ -0,0 +1,87 @@
+//! What the agent's operator port shows.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::Agent;
+use crate::process::operator::OperatorPort;
+
+/// Makes the operator port of the agent.
+pub(crate) fn operator_port(agent: &Arc<Agent>) -> OperatorPort {
+    let (ready, gauges) = (Arc::clone(agent), Arc::clone(agent));
+    let (process, regions, vms) = (Arc::clone(agent), Arc::clone(agent), Arc::clone(agent));
+    OperatorPort::new(move || match *ready.revision.borrow() {
+        0 => Err("no revision is held"),
+        _ => Ok(()),
+    })
+    .gauges(move || set_gauges(&gauges))
+    .part("process", move || describe(&process))
+    .part("regions", move || freshness(&regions))
+    .part("vms", move || listed(&vms))
+}
+
+fn set_gauges(agent: &Agent) {
+    let vm = agent.settings.vm.to_string();
+    let valid = agent.state().valid_for(Instant::now());
+    metrics::gauge!("agent_revision", "vm" => vm.clone()).set(*agent.revision.borrow() as f64);
+    metrics::gauge!("agent_valid_seconds", "vm" => vm).set(valid.as_secs_f64());
+}
+
+fn describe(agent: &Agent) -> Value {
+    let report = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
+    let report = report.clone();
+    let reported_at = *agent
+        .reported_at
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let state = agent.state();
+    json!({
+        "role": "agent",
+        "vm": agent.settings.vm.as_str(),
+        "region": agent.settings.region.as_str(),
+        "failure_domain": agent.settings.failure_domain.as_str(),
+        "revision": state.objects.revision(),
+        "objects": state.objects.len(),
+        "valid_ms": millis(state.valid_for(Instant::now())),
+        "entry_revision": report.as_ref().map(|report| report.revision),
+        "entry_config_version": report.as_ref().map(|report| report.config_version),
+        "entry_reported_ms_ago": reported_at.map(|at| millis(at.elapsed())),
+    })
+}
+
+fn freshness(agent: &Agent) -> Value {
+    let state = agent.state();
+    let ages = state
+        .freshness
+        .ages(Instant::now(), state.objects.revision());
+    let regions = ages.into_iter().map(|ages| {
+        json!({
+            "region": ages.region.as_str(),
+            "confirmed_ms_ago": ages.confirmed.map(|(age, _)| millis(age)),
+            "confirmed_revision": ages.confirmed.map(|(_, revision)| revision),
+            "heard_ms_ago": ages.heard.map(millis),
+            "revision": ages.revision,
+        })
+    });
+    Value::Array(regions.collect())
+}
+
+fn listed(agent: &Agent) -> Value {
+    let state = agent.state();
+    let vms = state.vms.iter().map(|vm| {
+        json!({
+            "vm": vm.name.as_str(),
+            "address": vm.address.to_string(),
+            "region": vm.region.as_str(),
+            "failure_domain": vm.failure_domain.as_str(),
+            "live": vm.is_live(),
+        })
+    });
+    Value::Array(vms.collect())
+}
+
+fn millis(age: Duration) -> u64 {
+    age.as_millis() as u64
+}
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -2,6 +2,7 @@
 //! feeds the entry of its VM.
 
 mod allocator;
+mod dump;
 mod peers;
 mod pull;
 mod store;
@@ -21,6 +22,7 @@
 
 use crate::connection::serve_frames;
 use crate::platform::{HttpPlatform, Platform, Revision};
+use crate::process::operator;
 use crate::process::settings::NodeSettings;
 use crate::version::VmRecord;
 use crate::wire::Report;
@@ -160,6 +162,11 @@
     log::info!("event=agent_started vm={} address={address}", settings.vm);
     let platform = Arc::new(HttpPlatform::new(settings.store, Some(settings.address)));
     let agent = Arc::new(Agent::new(settings, platform));
+    let address = SocketAddr::new(agent.settings.address, agent.settings.ports.agent_operator);
+    let operators = operator::listen(address)
+        .await
+        .map_err(|source| AgentError::Listen { address, source })?;
+    tokio::spawn(dump::operator_port(&agent).serve(operators));
     tokio::spawn(store::follow_store(Arc::clone(&agent)));
     tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
     tokio::spawn(allocator::run(Arc::clone(&agent)));
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -11,6 +11,7 @@
 
 use super::Agent;
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::version::{VmRecord, apply_delta};
 use crate::wire::{Body, Pull, PullReply};
 
@@ -71,7 +72,11 @@
     match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
         Ok(Body::PullReply(reply)) => take_reply(&agent, reply, &peer, sent),
         Ok(_) => log::warn!("event=pull_misanswered peer={}", peer.name),
-        Err(error) => log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name),
+        Err(error) => log::debug!(
+            "event=pull_failed peer={} error={}",
+            peer.name,
+            logfmt::value(&error)
+        ),
     }
 }
 
@@ -79,7 +84,11 @@
     if let Some(delta) = reply.delta
         && let Err(error) = agent.advance(|objects| apply_delta(objects, delta))
     {
-        log::warn!("event=pull_rejected peer={} error=\"{error}\"", peer.name);
+        log::warn!(
+            "event=pull_rejected peer={} error={}",
+            peer.name,
+            logfmt::value(&error)
+        );
         return;
     }
     let ages: Vec<RegionAges> = reply
--- a/crates/filbertgrade/src/process/agent/store.rs
+++ b/crates/filbertgrade/src/process/agent/store.rs
@@ -7,6 +7,7 @@
 use filbertgrade_coord::versioned::Applied;
 
 use super::Agent;
+use crate::logfmt;
 use crate::platform::{Changes, PlatformError, Revision, WATCHED_PREFIXES};
 
 /// Wait of one watch. Its end confirms the revision, so it must be well under
@@ -29,7 +30,7 @@
             Step::Watch => {
                 polled = None;
                 if let Err(error) = watch_once(&agent, WATCH_WAIT).await {
-                    log::warn!("event=watch_failed error=\"{error}\"");
+                    log::warn!("event=watch_failed error={}", logfmt::value(&error));
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -37,7 +38,7 @@
                 let polls = polled.map_or(0, |(_, polls)| polls) + 1;
                 polled = Some((Instant::now(), polls));
                 if let Err(error) = watch_once(&agent, Duration::ZERO).await {
-                    log::warn!("event=poll_failed error=\"{error}\"");
+                    log::warn!("event=poll_failed error={}", logfmt::value(&error));
                 }
             }
             Step::Rest { confirmed } => {
@@ -102,7 +103,7 @@
     let revision = listed.revision;
     match agent.advance(|objects| objects.apply_snapshot(listed.into_snapshot())) {
         Ok(_) => confirm_at(agent, sent, revision),
-        Err(error) => log::warn!("event=list_rejected error=\"{error}\""),
+        Err(error) => log::warn!("event=list_rejected error={}", logfmt::value(&error)),
     }
 }
 
@@ -116,7 +117,7 @@
             );
         }
         Ok(_) => {}
-        Err(error) => log::warn!("event=changes_rejected error=\"{error}\""),
+        Err(error) => log::warn!("event=changes_rejected error={}", logfmt::value(&error)),
     }
 }
 
--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -13,6 +13,7 @@
 use filbertgrade_standins::proxy::{Bandwidth, Direction, Fault, FaultProxy};
 
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::platform::HttpPlatform;
 use crate::process::command::CommandError;
 use crate::process::command::apply::apply_text;
@@ -376,12 +377,12 @@
     [
         tokio::spawn(async move {
             if let Err(error) = agent::run(of_agent).await {
-                log::error!("event=agent_failed error=\"{error}\"");
+                log::error!("event=agent_failed error={}", logfmt::value(&error));
             }
         }),
         tokio::spawn(async move {
             if let Err(error) = entry::run(settings).await {
-                log::error!("event=entry_failed error=\"{error}\"");
+                log::error!("event=entry_failed error={}", logfmt::value(&error));
             }
         }),
     ]
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::links::PeerLinks;
+use crate::logfmt;
 use crate::request::{Cause, Refusal};
 use crate::version::InForce;
 use crate::wire::{Body, Borrow, Loan};
@@ -366,7 +367,10 @@
             match link.call(body, PEER_TIMEOUT).await {
                 Ok(Body::Loan(loan)) => take_loan(&share, &ask, loan),
                 Ok(_) => {}
-                Err(error) => log::debug!("event=borrow_failed peer={peer} error=\"{error}\""),
+                Err(error) => log::debug!(
+                    "event=borrow_failed peer={peer} error={}",
+                    logfmt::value(&error)
+                ),
             }
         });
     }
@@ -381,7 +385,7 @@
             share.wake.notify_one();
         }
         Ok(None) => {}
-        Err(error) => log::warn!("event=loan_malformed error=\"{error}\""),
+        Err(error) => log::warn!("event=loan_malformed error={}", logfmt::value(&error)),
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -19,6 +19,7 @@
 
 use super::slots::SlotAsk;
 use super::{Entry, lookup};
+use crate::logfmt;
 use crate::request::{Cause, Refusal};
 use crate::version::{Access, InForce, KeySecret};
 
@@ -44,7 +45,7 @@
                 });
             }
             Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
+                log::warn!("event=accept_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
--- /dev/null
+++ b/crates/filbertgrade/src/process/entry/dump.rs
@@ -0,0 +1,126 @@
+//! What the entry's operator port shows.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::Entry;
+use crate::process::operator::OperatorPort;
+
+/// Makes the operator port of the entry.
+pub(crate) fn operator_port(entry: &Arc<Entry>) -> OperatorPort {
+    let (ready, gauges) = (Arc::clone(entry), Arc::clone(entry));
+    let (process, in_force) = (Arc::clone(entry), Arc::clone(entry));
+    let (shares, slots) = (Arc::clone(entry), Arc::clone(entry));
+    OperatorPort::new(move || readiness(&ready))
+        .gauges(move || set_gauges(&gauges))
+        .part("process", move || describe(&process))
+        .part("in_force", move || view(&in_force))
+        .part("shares", move || ledgers(&shares))
+        .part("slots", move || books(&slots))
+}
+
+fn readiness(entry: &Entry) -> Result<(), &'static str> {
+    if entry.view().config.is_none() {
+        return Err("no configuration is in force");
+    }
+    if !entry.is_valid(Instant::now()) {
+        return Err("the state is not valid: the VM is isolated or its agent is silent");
+    }
+    Ok(())
+}
+
+fn set_gauges(entry: &Entry) {
+    let view = entry.view();
+    let vm = entry.settings.vm.to_string();
+    metrics::gauge!("entry_revision", "vm" => vm.clone()).set(view.revision as f64);
+    metrics::gauge!("entry_config_version", "vm" => vm.clone()).set(view.config_version as f64);
+    metrics::gauge!("entry_valid_seconds", "vm" => vm).set(valid_ms(entry) as f64 / 1000.0);
+}
+
+fn describe(entry: &Entry) -> Value {
+    json!({
+        "role": "entry",
+        "vm": entry.settings.vm.as_str(),
+        "region": entry.settings.region.as_str(),
+        "failure_domain": entry.settings.failure_domain.as_str(),
+        "valid_ms": valid_ms(entry),
+    })
+}
+
+fn view(entry: &Entry) -> Value {
+    let view = entry.view();
+    let sorted = |set: Vec<String>| {
+        let mut set = set;
+        set.sort();
+        set
+    };
+    let drained_servers = view.drained_servers.iter().map(ToString::to_string);
+    json!({
+        "revision": view.revision,
+        "config_version": view.config_version,
+        "config": view.config.as_ref().map(|config| config.to_text()),
+        "keys": view.keys.len(),
+        "vms": view.vms.values().map(|vm| json!({
+            "vm": vm.name.as_str(),
+            "address": vm.address.to_string(),
+            "live": vm.is_live(),
+        })).collect::<Vec<_>>(),
+        "drained_vms": sorted(view.drained_vms.iter().cloned().collect()),
+        "drained_regions": sorted(view.drained_regions.iter().cloned().collect()),
+        "drained_servers": sorted(drained_servers.collect()),
+    })
+}
+
+fn ledgers(entry: &Entry) -> Value {
+    let ledgers = entry.admission.snapshots().into_iter();
+    let ledgers = ledgers.map(|ledger| {
+        json!({
+            "team": ledger.team.as_str(),
+            "table_version": ledger.table_version,
+            "base_rate": ledger.base.rate(),
+            "base_usable": ledger.base_usable,
+            "rate": ledger.part.rate(),
+            "burst": ledger.part.burst(),
+            "tokens": ledger.tokens,
+            "loans_out": ledger.loans_out.len(),
+            "loans_in": ledger.loans_in.len(),
+            "waiting": ledger.waiting,
+        })
+    });
+    Value::Array(ledgers.collect())
+}
+
+fn books(entry: &Entry) -> Value {
+    let books = entry.slots.snapshots().into_iter();
+    let books = books.map(|(service, region, book)| {
+        let endpoints = book.endpoints.iter().map(|endpoint| {
+            json!({
+                "endpoint": endpoint.name.as_str(),
+                "slots": endpoint.slots,
+                "open": endpoint.open,
+                "in_use": endpoint.in_use,
+                "draining": endpoint.draining,
+            })
+        });
+        let waiting = book.waiting.iter().map(|(_, waiting)| waiting);
+        json!({
+            "service": service.as_str(),
+            "region": region.as_str(),
+            "permits": book.permits,
+            "waiting": waiting.sum::<usize>(),
+            "endpoints": endpoints.collect::<Vec<_>>(),
+        })
+    });
+    Value::Array(books.collect())
+}
+
+fn valid_ms(entry: &Entry) -> u64 {
+    let now = Instant::now();
+    let left = entry
+        .valid_until
+        .load()
+        .map(|until| until.saturating_duration_since(now));
+    left.map_or(0, |left| left.as_millis() as u64)
+}
--- a/crates/filbertgrade/src/process/entry/feed.rs
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -9,6 +9,7 @@
 
 use super::Entry;
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::version::InForce;
 use crate::wire::{Body, Feed, Hello, Report};
 
@@ -37,7 +38,7 @@
             }
             Ok(_) => tokio::time::sleep(RETRY_PAUSE).await,
             Err(error) => {
-                log::warn!("event=feed_failed error=\"{error}\"");
+                log::warn!("event=feed_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -49,7 +50,7 @@
         match crate::version::apply_delta(objects, delta) {
             Ok(Applied::Advanced(names)) => put_in_force(entry, objects, &names),
             Ok(Applied::Stale | Applied::Gap { .. }) => {}
-            Err(error) => log::warn!("event=feed_rejected error=\"{error}\""),
+            Err(error) => log::warn!("event=feed_rejected error={}", logfmt::value(&error)),
         }
     }
     let until = sent + Duration::from_millis(feed.valid_ms.into());
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller;
+mod dump;
 mod feed;
 mod links;
 mod lookup;
@@ -86,8 +87,14 @@
     let listener = listen(address).await?;
     let peer_address = SocketAddr::new(settings.address, settings.ports.entry_peer);
     let peer_listener = listen(peer_address).await?;
+    let operators = listen(SocketAddr::new(
+        settings.address,
+        settings.ports.entry_operator,
+    ))
+    .await?;
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
+    tokio::spawn(dump::operator_port(&entry).serve(operators));
     tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
     tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
     caller::serve(entry, listener).await;
--- a/crates/filbertgrade/src/process/entry/peers.rs
+++ b/crates/filbertgrade/src/process/entry/peers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::Entry;
+use crate::logfmt;
 use crate::wire::{Body, Borrow, Loan, LoanMessageError, LoanRenewed, RenewLoan, ReturnLoan};
 
 pub(crate) async fn answer(entry: Arc<Entry>, body: Body) -> Option<Body> {
@@ -11,7 +12,10 @@
         Body::RenewLoan(renewal) => answered(renew(&entry, renewal).map(Body::LoanRenewed)),
         Body::ReturnLoan(returned) => {
             if let Err(error) = take_back(&entry, returned) {
-                log::warn!("event=peer_message_rejected error=\"{error}\"");
+                log::warn!(
+                    "event=peer_message_rejected error={}",
+                    logfmt::value(&error)
+                );
             }
             None
         }
@@ -43,6 +47,11 @@
 
 fn answered(reply: Result<Body, LoanMessageError>) -> Option<Body> {
     reply
-        .inspect_err(|error| log::warn!("event=peer_message_rejected error=\"{error}\""))
+        .inspect_err(|error| {
+            log::warn!(
+                "event=peer_message_rejected error={}",
+                logfmt::value(&error)
+            );
+        })
         .ok()
 }
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -25,6 +25,7 @@
 use self::grant::HeldPermit;
 pub(crate) use self::grant::SlotGrant;
 use super::links::PeerLinks;
+use crate::logfmt;
 use crate::process::settings::NodeSettings;
 use crate::request::{Cause, Refusal};
 use crate::version::{InForce, ServiceName};
@@ -302,7 +303,10 @@
             let answer = match answer {
                 Ok(body) => slots.remote_answer(body, id, owner),
                 Err(error) => {
-                    log::debug!("event=slot_owner_silent owner={owner} error=\"{error}\"");
+                    log::debug!(
+                        "event=slot_owner_silent owner={owner} error={}",
+                        logfmt::value(&error)
+                    );
                     RegionAnswer::Silent
                 }
             };
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -3,4 +3,5 @@
 pub mod agent;
 pub mod command;
 pub mod entry;
+pub(crate) mod operator;
 pub mod settings;
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -14,6 +14,7 @@
 
 use super::shares::{self, SHARE_TABLE};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
+use crate::logfmt;
 use crate::platform::Revision;
 
 /// Name of the object that makes a configuration visible.
@@ -225,8 +226,9 @@
         Ok(config) => Some((root.version, config)),
         Err(error) => {
             log::error!(
-                "event=config_malformed version={} error=\"{error}\"",
-                root.version
+                "event=config_malformed version={} error={}",
+                root.version,
+                logfmt::value(&error)
             );
             None
         }
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -1,8 +1,9 @@
 //! A small fleet of real processes between in-process stand-ins.
 
+use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,9 +15,12 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_filbertgrade");
 
+/// Second octets of fleets' addresses, from 64.
+const OCTETS: u32 = 144;
+
 /// Gives each fleet of this test process a second octet of its own, so that
 /// tests that run at the same time do not share addresses.
-static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
 /// A configuration with one service `chart` in two regions, `order` besides it
 /// and an open service `size-list`.
@@ -69,9 +73,11 @@
 
 /// Stand-ins and processes of one test. Dropping it ends the processes.
 pub(crate) struct Fleet {
-    pub(crate) platform: PlatformServer,
-    pub(crate) backends: Vec<BackendServer>,
+    // Dropped first: the platform's address keeps the octet claimed until the
+    // processes have ended.
     pub(crate) vms: Vec<Vm>,
+    pub(crate) backends: Vec<BackendServer>,
+    pub(crate) platform: PlatformServer,
     octet: u8,
 }
 
@@ -87,13 +93,7 @@
     /// Starts a platform, two backend servers and `vms` VMs, alternately in
     /// the two regions.
     pub(crate) async fn start(vms: u8) -> Self {
-        // The process id keeps test binaries that run at the same time apart.
-        let octet = 64
-            + ((std::process::id() % 12) as u8) * 12
-            + NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 12;
-        let platform = PlatformServer::bind(address(octet, 8, 1, 6000))
-            .await
-            .unwrap();
+        let (octet, platform) = claim_octet().await;
         let mut backends = Vec::new();
         for n in 1..=2 {
             let cfg = BackendConfig {
@@ -253,6 +253,22 @@
     String::from_utf8(output.stdout).unwrap().trim().to_owned()
 }
 
+/// Binds a platform on the first octet that no other fleet uses, whichever
+/// process it is in.
+async fn claim_octet() -> (u8, PlatformServer) {
+    for _ in 0..OCTETS {
+        let fleet = std::process::id()
+            .wrapping_mul(12)
+            .wrapping_add(NEXT_FLEET.fetch_add(1, Ordering::Relaxed));
+        let octet = 64 + (fleet % OCTETS) as u8;
+        match PlatformServer::bind(address(octet, 8, 1, 6000)).await {
+            Ok(platform) => return (octet, platform),
+            Err(error) => assert_eq!(error.kind(), ErrorKind::AddrInUse, "{error}"),
+        }
+    }
+    panic!("every octet is in use");
+}
+
 fn address(octet: u8, third: u8, fourth: u8, port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, octet, third, fourth)), port)
 }
