--- a/crates/filbertgrade/src/process/entry/lookup.rs
+++ b/crates/filbertgrade/src/process/entry/lookup.rs
@@ -33,8 +33,7 @@
         let mut of_region: Vec<&VmRecord> = view
             .vms
             .values()
-            .filter(|vm| vm.region == region && vm.is_live())
-            .filter(|vm| !view.drained_vms.contains(vm.name.as_str()))
+            .filter(|vm| vm.region == region && view.takes_work(vm))
             .collect();
         if !of_region.is_empty() {
             let start = client_hash(client) % of_region.len();
--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -68,12 +68,15 @@
             addresses.insert(name, endpoint.address);
             self.deliver(now, late);
         }
-        for name in self.addresses.keys() {
-            if !addresses.contains_key(name) {
-                self.book.remove_endpoint(name);
+        // Grants name endpoints that stay, so the new addresses must be known
+        // before they are delivered.
+        let known = std::mem::replace(&mut self.addresses, addresses);
+        for name in known.keys() {
+            if !self.addresses.contains_key(name) {
+                let late = self.book.remove_endpoint(now, name);
+                self.deliver(now, late);
             }
         }
-        self.addresses = addresses;
     }
 
     pub(super) fn acquire(
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -137,10 +137,12 @@
         }
     }
 
-    /// A VM that stays and is not drained.
+    /// A VM that stays and is not drained, nor its region.
     #[must_use]
     pub fn takes_work(&self, vm: &VmRecord) -> bool {
-        vm.is_live() && !self.drained_vms.contains(vm.name.as_str())
+        vm.is_live()
+            && !self.drained_vms.contains(vm.name.as_str())
+            && !self.drained_regions.contains(vm.region.as_str())
     }
 
     /// Endpoints of a service in a region.
@@ -160,7 +162,8 @@
                     .map(move |(_, address)| Endpoint {
                         address,
                         slots: service.slots,
-                        drained: self.is_drained(address),
+                        drained: self.drained_regions.contains(region.as_str())
+                            || self.is_drained(address),
                     })
             })
     }
--- a/crates/filbertgrade/tests/operators/drain.rs
+++ b/crates/filbertgrade/tests/operators/drain.rs
@@ -50,6 +50,29 @@
     assert_eq!(names, expected);
 }
 
+/// Guards against a drained region that still gets look-ups or requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_region_gets_no_new_work() {
+    let fleet = Fleet::start(2).await;
+    fleet.apply().await;
+    assert_eq!(run(&fleet, &["drain", "region", "south"]).await.code, 0);
+    assert!(!first_vms(&fleet).await.contains("vm-2"));
+    for n in 0..8 {
+        let id = format!("drained-{n}");
+        let req = Request::get("/size-list/all?bytes=10")
+            .header("host", "size-list")
+            .header("x-request-id", &id)
+            .body(Full::<Bytes>::default())
+            .unwrap();
+        let answer = send(fleet.vms[1].callers(), req).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(
+            (fleet.backends[0].ran(&id), fleet.backends[1].ran(&id)),
+            (1, 0)
+        );
+    }
+}
+
 /// Guards against an unanswered write that a command reports as without
 /// effect or waits for without end.
 #[tokio::test(flavor = "multi_thread")]
