--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -58,25 +58,23 @@
         };
         self.revision = Some(view.revision);
         let mut addresses = HashMap::new();
+        let mut pending = Vec::new();
         for endpoint in view.endpoints(&id.service, &id.region) {
             let name = endpoint_name(endpoint.address);
             let late = self
                 .book
                 .set_endpoint(now, name.clone(), endpoint.slots, temperature);
-            self.deliver(now, late);
-            let late = self.book.set_draining(now, &name, endpoint.drained);
+            pending.extend(late);
+            pending.extend(self.book.set_draining(now, &name, endpoint.drained));
             addresses.insert(name, endpoint.address);
-            self.deliver(now, late);
         }
-        // Grants name endpoints that stay, so the new addresses must be known
-        // before they are delivered.
-        let known = std::mem::replace(&mut self.addresses, addresses);
-        for name in known.keys() {
-            if !self.addresses.contains_key(name) {
-                let late = self.book.remove_endpoint(now, name);
-                self.deliver(now, late);
-            }
+        let former = std::mem::replace(&mut self.addresses, addresses);
+        for name in former.keys().filter(|n| !self.addresses.contains_key(*n)) {
+            let late = self.book.remove_endpoint(now, name);
+            pending.extend(late);
         }
+        // Grants name endpoints, so all addresses must be known by now.
+        self.deliver(now, pending);
     }
 
     pub(super) fn acquire(
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -5,3 +5,4 @@
 pub mod entry;
 pub(crate) mod operator;
 pub mod settings;
+pub(crate) mod tasks;
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -1,26 +1,27 @@
 //! A small fleet of real processes between in-process stand-ins.
 
-use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use filbertgrade_standins::backend::{BackendConfig, BackendServer};
 use filbertgrade_standins::platform::{PlatformServer, VmEntry};
+use filbertgrade_standins::proxy::FaultProxy;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_filbertgrade");
 
-/// Second octets of fleets' addresses, from 64.
-const OCTETS: u32 = 144;
+/// Second octets of fleets' addresses.
+const FIRST_OCTET: u8 = 64;
+const FLEET_OCTETS: u8 = 144;
 
 /// Gives each fleet of this test process a second octet of its own, so that
 /// tests that run at the same time do not share addresses.
-static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
 
 /// A configuration with one service `chart` in two regions, `order` besides it
 /// and an open service `size-list`.
@@ -76,6 +77,8 @@
     // Dropped first: the platform's address keeps the octet claimed until the
     // processes have ended.
     pub(crate) vms: Vec<Vm>,
+    /// Between the entries and the backend server of the same index.
+    pub(crate) proxies: Vec<FaultProxy>,
     pub(crate) backends: Vec<BackendServer>,
     pub(crate) platform: PlatformServer,
     octet: u8,
@@ -93,7 +96,8 @@
     /// Starts a platform, two backend servers and `vms` VMs, alternately in
     /// the two regions.
     pub(crate) async fn start(vms: u8) -> Self {
-        let (octet, platform) = claim_octet().await;
+        let (octet, platform) = free_octet().await;
+        let mut proxies = Vec::new();
         let mut backends = Vec::new();
         for n in 1..=2 {
             let cfg = BackendConfig {
@@ -101,14 +105,17 @@
                 ..BackendConfig::default()
             };
             backends.push(
-                BackendServer::bind(address(octet, 9, n, 9000), cfg)
+                BackendServer::bind(address(octet, 10, n, 9000), cfg)
                     .await
                     .unwrap(),
             );
+            let proxy = FaultProxy::bind(address(octet, 9, n, 9000), address(octet, 10, n, 9000));
+            proxies.push(proxy.await.unwrap());
         }
         let mut fleet = Self {
             platform,
             backends,
+            proxies,
             vms: Vec::new(),
             octet,
         };
@@ -253,20 +260,18 @@
     String::from_utf8(output.stdout).unwrap().trim().to_owned()
 }
 
-/// Binds a platform on the first octet that no other fleet uses, whichever
-/// process it is in.
-async fn claim_octet() -> (u8, PlatformServer) {
-    for _ in 0..OCTETS {
-        let fleet = std::process::id()
-            .wrapping_mul(12)
-            .wrapping_add(NEXT_FLEET.fetch_add(1, Ordering::Relaxed));
-        let octet = 64 + (fleet % OCTETS) as u8;
-        match PlatformServer::bind(address(octet, 8, 1, 6000)).await {
-            Ok(platform) => return (octet, platform),
-            Err(error) => assert_eq!(error.kind(), ErrorKind::AddrInUse, "{error}"),
+/// Finds a second octet that no other test uses, also not one of another test
+/// process on the same machine: the platform's address is the lock.
+async fn free_octet() -> (u8, PlatformServer) {
+    for _ in 0..FLEET_OCTETS {
+        let start = (std::process::id() % u32::from(FLEET_OCTETS)) as u8;
+        let next = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let octet = FIRST_OCTET + start.wrapping_add(next) % FLEET_OCTETS;
+        if let Ok(platform) = PlatformServer::bind(address(octet, 8, 1, 6000)).await {
+            return (octet, platform);
         }
     }
-    panic!("every octet is in use");
+    panic!("all addresses for fleets are in use");
 }
 
 fn address(octet: u8, third: u8, fourth: u8, port: u16) -> SocketAddr {
