--- a/crates/filbertgrade/src/process/entry/dump.rs
+++ b/crates/filbertgrade/src/process/entry/dump.rs
@@ -1,6 +1,7 @@
 //! What the entry's operator port shows.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use serde_json::{Value, json};
@@ -22,6 +23,9 @@
 }
 
 fn readiness(entry: &Entry) -> Result<(), &'static str> {
+    if entry.leaving.load(Ordering::Acquire) {
+        return Err("the process is leaving");
+    }
     if entry.view().config.is_none() {
         return Err("no configuration is in force");
     }
