--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -19,6 +19,7 @@
 
 use super::answer::{Body, json, refuse};
 use super::{Entry, carry, lookup};
+use crate::logfmt;
 use crate::process::tasks::Running;
 use crate::request::{Cause, Refusal};
 
@@ -73,7 +74,7 @@
         match accepted {
             Ok((stream, peer)) => accept(entry, stream, peer, close.clone()),
             Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
+                log::warn!("event=accept_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
--- a/crates/filbertgrade/src/process/entry/carry.rs
+++ b/crates/filbertgrade/src/process/entry/carry.rs
@@ -16,6 +16,7 @@
 use super::answer::{AnswerStream, Body};
 use super::slots::{EndpointFault, SlotAsk, SlotGrant};
 use crate::connection::{Busy, Connection, Need, PoolError};
+use crate::logfmt;
 use crate::request::{
     self, Attempt, AttemptState, Cause, Claim, DEADLINE_HEADER, Evidence, Failure, NextStep,
     Refusal, SHORTEST_USEFUL, Situation, Upload, UploadFault,
@@ -422,7 +423,7 @@
 fn not_connected(error: &PoolError) -> Failed {
     match error {
         PoolError::Connect { .. } => {
-            log::debug!("event=backend_unreachable error=\"{error}\"");
+            log::debug!("event=backend_unreachable error={}", logfmt::value(&error));
             not_sent(Failure::NoConnection)
         }
         PoolError::Full(_) => not_sent(Failure::DeadlinePassed),
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -3,5 +3,6 @@
 pub mod agent;
 pub mod command;
 pub mod entry;
+pub(crate) mod operator;
 pub mod settings;
 pub(crate) mod tasks;
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -74,11 +74,13 @@
 
 /// Stand-ins and processes of one test. Dropping it ends the processes.
 pub(crate) struct Fleet {
-    pub(crate) platform: PlatformServer,
-    pub(crate) backends: Vec<BackendServer>,
+    // Dropped first: the platform's address keeps the octet claimed until the
+    // processes have ended.
+    pub(crate) vms: Vec<Vm>,
     /// Between the entries and the backend server of the same index.
     pub(crate) proxies: Vec<FaultProxy>,
-    pub(crate) vms: Vec<Vm>,
+    pub(crate) backends: Vec<BackendServer>,
+    pub(crate) platform: PlatformServer,
     octet: u8,
 }
 
