--- a/crates/filbertgrade-standins/src/proxy.rs
+++ b/crates/filbertgrade-standins/src/proxy.rs
@@ -4,13 +4,14 @@
 //! 16 KiB, paced by the bandwidth limit, and written after the delay. Up to 4 MiB are in flight in
 //! a pipe; then the sender meets back-pressure. Connections are accepted at once even under a
 //! fault, because the kernel completes the handshake; a delay applies to data and to its end.
+//! Delays are rounded up to whole milliseconds.
 //!
 //! The proxy connects onward from the source IP address of the caller if both the caller and the
 //! target have IPv4 loopback addresses, so the target sees who called.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::common::lock;
+use crate::common::{lock, sleep_until};
 
 /// Largest part in bytes that is read, paced and written at once.
 const PART_BYTES: usize = 16 * 1024;
@@ -444,6 +445,8 @@
 
 async fn connect(source: IpAddr, forward_to: SocketAddr) -> io::Result<TcpStream> {
     match (source, forward_to) {
+        // Connections to loopback addresses come from 127.0.0.1 by default.
+        (IpAddr::V4(Ipv4Addr::LOCALHOST), _) => TcpStream::connect(forward_to).await,
         (IpAddr::V4(from), SocketAddr::V4(to)) if from.is_loopback() && to.ip().is_loopback() => {
             let socket = TcpSocket::new_v4()?;
             socket.bind(SocketAddr::new(source, 0))?;
@@ -505,7 +508,7 @@
         // direction passes on how the other side ended.
         let mut broken = false;
         while let Some((due, item)) = rx.recv().await {
-            tokio::time::sleep_until(due).await;
+            sleep_until(due).await;
             let Some(rule) = self.released().await else {
                 continue;
             };
@@ -594,7 +597,7 @@
         };
         let last = !matches!(item, Item::Data(_));
         if let (Item::Data(data), Some(bandwidth)) = (&item, &fault.bandwidth) {
-            tokio::time::sleep_until(bandwidth.reserve(data.len())).await;
+            sleep_until(bandwidth.reserve(data.len())).await;
         }
         if tx.send((Instant::now() + fault.delay, item)).await.is_err() || last {
             return;
--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -4,11 +4,12 @@
 
 use anyhow::Context;
 use filbertgrade::process::command::flags::{Filbertgrade, FilbertgradeCmd};
+use filbertgrade::process::signals::StopSignals;
 use filbertgrade::process::{agent, command, entry};
 
 fn main() -> ExitCode {
-    init_logs();
     let flags = Filbertgrade::from_env_or_exit();
+    init_logs(&flags.subcommand);
     match run(flags) {
         Ok(code) => code,
         Err(error) => {
@@ -25,10 +26,14 @@
         .context("cannot start the runtime")?;
     runtime.block_on(async {
         match flags.subcommand {
-            FilbertgradeCmd::Entry(flags) => entry::run(flags.settings()?).await?,
+            FilbertgradeCmd::Entry(flags) => {
+                let signals = StopSignals::new().context("cannot receive signals")?;
+                entry::run(flags.settings()?, signals.received()).await?;
+            }
             FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
             FilbertgradeCmd::Check(flags) => return Ok(command::check(&flags.file)?),
             FilbertgradeCmd::Apply(flags) => command::apply(&flags.file, flags.store).await?,
+            FilbertgradeCmd::Dev(flags) => command::dev(&flags).await?,
             FilbertgradeCmd::Key(flags) => command::key(flags).await?,
         }
         Ok(ExitCode::SUCCESS)
@@ -36,9 +41,15 @@
 }
 
 /// One line for each event: time, level, module, then `event=` and its fields.
-fn init_logs() {
+///
+/// Daemons log at level info by default, commands only failures.
+fn init_logs(command: &FilbertgradeCmd) {
     use std::io::Write;
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+    let level = match command {
+        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) => "info",
+        _ => "error",
+    };
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
         .format(|out, record| {
             writeln!(
                 out,
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -5,10 +5,13 @@
 mod caller;
 mod carry;
 mod feed;
+mod links;
 mod lookup;
+mod peers;
 mod shutdown;
 mod slots;
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -19,8 +22,9 @@
 use tokio::sync::watch;
 
 use self::admission::Admission;
+use self::links::PeerLinks;
 use self::slots::Slots;
-use crate::connection::Pool;
+use crate::connection::{Pool, serve_frames};
 use crate::platform::HttpPlatform;
 use crate::process::settings::NodeSettings;
 use crate::process::tasks::Tasks;
@@ -34,9 +38,6 @@
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum EntryError {
-    /// Signals cannot be received.
-    #[error("cannot receive signals: {0}")]
-    Signals(std::io::Error),
     /// An address cannot be bound.
     #[error("cannot listen on {address}: {source}")]
     Listen {
@@ -51,9 +52,11 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) settings: NodeSettings,
-    pub(crate) in_force: ArcSwap<InForce>,
+    pub(crate) in_force: Arc<ArcSwap<InForce>>,
     /// Until when the state in force may be relied on.
     pub(crate) valid_until: ArcSwap<Option<Instant>>,
+    /// Links to the entries of the other VMs.
+    pub(crate) links: Arc<PeerLinks>,
     /// Teams' rates and bursts.
     pub(crate) admission: Admission,
     /// Slots of endpoints.
@@ -74,10 +77,13 @@
 
 impl Entry {
     fn new(settings: NodeSettings) -> Self {
-        let slots = Slots::new(settings.clone());
+        let in_force = Arc::new(ArcSwap::default());
+        let links = Arc::new(PeerLinks::new(settings.clone()));
         let background = Tasks::default();
         let platform = Arc::new(HttpPlatform::new(settings.store, Some(settings.address)));
         Self {
+            admission: Admission::new(settings.vm.clone(), Arc::clone(&links)),
+            slots: Slots::new(settings.clone(), Arc::clone(&in_force), Arc::clone(&links)),
             pool: Pool::new(settings.address),
             guard: Guard::new(platform, background.clone()),
             callers: Tasks::default(),
@@ -86,13 +92,17 @@
             budget: Mutex::new(RetryBudget::new(Instant::now())),
             leaving: AtomicBool::new(false),
             settings,
-            admission: Admission::default(),
-            slots,
-            in_force: ArcSwap::default(),
+            links,
+            in_force,
             valid_until: ArcSwap::default(),
         }
     }
 
+    /// The view in force.
+    pub(crate) fn view(&self) -> Arc<InForce> {
+        self.in_force.load_full()
+    }
+
     /// The VM can tell that its state is still valid.
     pub(crate) fn is_valid(&self, now: Instant) -> bool {
         self.valid_until.load().is_some_and(|until| now <= until)
@@ -110,28 +120,44 @@
     }
 }
 
-/// Runs the entry until the process is told to stop, and stops gracefully.
+/// Runs the entry until `stop` resolves, then stops gracefully.
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound, or signals cannot be received.
-pub async fn run(settings: NodeSettings) -> Result<(), EntryError> {
+/// Fails when an address cannot be bound.
+pub async fn run(
+    settings: NodeSettings,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), EntryError> {
     let address = SocketAddr::new(settings.address, settings.ports.caller);
-    let signals = shutdown::Signals::new().map_err(EntryError::Signals)?;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|source| EntryError::Listen { address, source })?;
+    let listener = listen(address).await?;
+    let peer_address = SocketAddr::new(settings.address, settings.ports.entry_peer);
+    let peer_listener = listen(peer_address).await?;
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
     tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
+    tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
     tokio::spawn(close_expired(Arc::clone(&entry)));
     let close = watch::Sender::new(false);
-    let stop = shutdown::leave_on_signal(&entry, signals);
-    caller::serve(&entry, listener, &close.subscribe(), stop).await;
+    let leave = shutdown::leave_after(&entry, stop);
+    caller::serve(&entry, listener, &close.subscribe(), leave).await;
     shutdown::finish(&entry, &close).await;
     Ok(())
 }
 
+async fn serve_peers(entry: Arc<Entry>, listener: TcpListener) {
+    serve_frames(listener, move |_peer, body| {
+        peers::answer(Arc::clone(&entry), body)
+    })
+    .await;
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| EntryError::Listen { address, source })
+}
+
 async fn close_expired(entry: Arc<Entry>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -4,4 +4,5 @@
 pub mod command;
 pub mod entry;
 pub mod settings;
+pub mod signals;
 pub(crate) mod tasks;
