Free slots at the deadline, linger on close, and read refused uploads

A connection now counts until the other side closed, at most 150 ms. - streaming::refusal_of_an_upload_reaches_its_caller: the entry closed the connection under the upload (broken pipe). It reads the rest for 2 s.

--- a/crates/filbertgrade/src/connection/backend.rs
+++ b/crates/filbertgrade/src/connection/backend.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::task::JoinHandle;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 use super::watched::{ByteCount, WatchedIo};
 
@@ -21,6 +23,10 @@
 /// which takes one turn of its task.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Longest time to wait for a backend server to close its end. Two regions
+/// are 55 ms apart each way.
+const LINGER: Duration = Duration::from_millis(150);
+
 /// Largest head of an answer in bytes.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
 
@@ -60,9 +66,15 @@
     state: S,
 }
 
-/// The task that moves a connection's bytes; it ends when this is dropped.
+/// The task that moves a connection's bytes. It closes the connection when
+/// this is dropped.
 #[derive(Debug)]
-struct Driver(JoinHandle<()>);
+struct Driver {
+    /// Dropped to close the connection.
+    close: Option<oneshot::Sender<()>>,
+    /// Resolves when no further byte can leave.
+    stopped: oneshot::Receiver<()>,
+}
 
 impl Connection<Proven> {
     /// Opens a connection. `held` is dropped after the connection is closed.
@@ -83,14 +95,11 @@
             .handshake(TokioIo::new(io))
             .await
             .map_err(std::io::Error::other)?;
-        let driver = tokio::spawn(async move {
-            let _held = held;
-            let _ = connection.await;
-        });
+        let driver = Driver::spawn(connection, held);
         Ok(Self {
             endpoint,
             sender,
-            driver: Driver(driver),
+            driver,
             count,
             state: Proven {
                 at: Instant::now(),
@@ -229,14 +238,44 @@
 }
 
 impl Driver {
+    fn spawn<H: Send + 'static>(
+        mut connection: http1::Connection<TokioIo<WatchedIo<TcpStream>>, RequestBody>,
+        held: H,
+    ) -> Self {
+        let (close, closing) = oneshot::channel::<()>();
+        let (stopping, stopped) = oneshot::channel::<()>();
+        tokio::spawn(async move {
+            let _held = held;
+            tokio::select! {
+                biased;
+                _ = closing => {}
+                _ = &mut connection => {}
+            }
+            let io = connection.into_parts().io.into_inner();
+            drop(stopping);
+            linger(io).await;
+        });
+        Self {
+            close: Some(close),
+            stopped,
+        }
+    }
+
     async fn stop(&mut self) {
-        self.0.abort();
-        let _ = (&mut self.0).await;
+        self.close = None;
+        // Only the end of the sender is ever told.
+        let _ = (&mut self.stopped).await;
     }
 }
 
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+/// Closes a connection, and waits until the backend server did the same,
+/// because it counts the connection until then.
+async fn linger(mut io: WatchedIo<TcpStream>) {
+    let closing = async {
+        io.shutdown().await?;
+        let mut rest = [0_u8; 4096];
+        while io.read(&mut rest).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    };
+    let _ = tokio::time::timeout(LINGER, closing).await;
 }
--- a/crates/filbertgrade/src/process/entry/answer.rs
+++ b/crates/filbertgrade/src/process/entry/answer.rs
@@ -1,8 +1,8 @@
 //! Answers to callers: passed on from backend servers, or the entry's own.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::time::Sleep;
+use tokio::task::JoinHandle;
 
 use super::Entry;
 use super::slots::SlotGrant;
@@ -42,14 +42,23 @@
 #[derive(Debug)]
 pub(crate) struct AnswerStream {
     inner: Incoming,
-    deadline: Pin<Box<Sleep>>,
-    /// Closed when dropped, put back into the pool after the whole answer.
-    connection: Option<Connection<Busy>>,
+    held: Arc<Mutex<Held>>,
+    /// Ends what is held at the deadline, also when the caller does not read.
+    timer: JoinHandle<()>,
     /// The whole request was sent. If not, the connection cannot be reused.
     request_sent: Arc<AtomicBool>,
     entry: Arc<Entry>,
+}
+
+/// What an answer takes until it was passed on.
+#[derive(Debug)]
+struct Held {
+    /// Closed when dropped, put back into the pool after the whole answer.
+    connection: Option<Connection<Busy>>,
     /// Busy until the whole answer was passed on.
-    _slot: SlotGrant,
+    slot: Option<SlotGrant>,
+    /// The deadline passed before the end of the answer.
+    expired: bool,
 }
 
 impl AnswerStream {
@@ -61,13 +70,18 @@
         slot: SlotGrant,
         deadline: Instant,
     ) -> Self {
+        let held = Arc::new(Mutex::new(Held {
+            connection: Some(connection),
+            slot: Some(slot),
+            expired: false,
+        }));
+        let timer = tokio::spawn(expire(Arc::clone(&held), deadline));
         let mut stream = Self {
             inner,
-            deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
-            connection: Some(connection),
+            held,
+            timer,
             request_sent,
             entry: Arc::clone(entry),
-            _slot: slot,
         };
         stream.finish_at_end();
         stream
@@ -81,12 +95,47 @@
     }
 
     fn finish(&mut self) {
-        if let Some(connection) = self.connection.take()
+        let connection = lock(&self.held).connection.take();
+        if let Some(connection) = connection
             && self.request_sent.load(Ordering::Acquire)
         {
             self.entry.pool.put_back(connection.finish(Instant::now()));
         }
     }
+
+    fn abort(&mut self, error: hyper::Error) -> AnswerError {
+        let mut held = lock(&self.held);
+        held.connection = None;
+        if held.expired {
+            AnswerError::DeadlinePassed
+        } else {
+            AnswerError::Cut(error)
+        }
+    }
+}
+
+/// Closes the connection and frees the slot at the deadline. The stream then
+/// ends with an error, because the connection did.
+async fn expire(held: Arc<Mutex<Held>>, deadline: Instant) {
+    tokio::time::sleep_until(deadline.into()).await;
+    let mut held = lock(&held);
+    held.expired = held.connection.is_some();
+    held.connection = None;
+    held.slot = None;
+}
+
+fn lock(held: &Mutex<Held>) -> MutexGuard<'_, Held> {
+    held.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Drop for AnswerStream {
+    fn drop(&mut self) {
+        self.timer.abort();
+        // The aborted timer may keep its part for a moment.
+        let mut held = lock(&self.held);
+        held.connection = None;
+        held.slot = None;
+    }
 }
 
 impl HttpBody for AnswerStream {
@@ -98,14 +147,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         loop {
-            let frame = match Pin::new(&mut self.inner).poll_frame(cx) {
-                Poll::Ready(frame) => frame,
-                Poll::Pending => {
-                    ready!(self.deadline.as_mut().poll(cx));
-                    self.connection = None;
-                    return Poll::Ready(Some(Err(AnswerError::DeadlinePassed)));
-                }
-            };
+            let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
             match frame {
                 Some(Ok(frame)) if frame.is_data() => {
                     self.finish_at_end();
@@ -114,8 +156,12 @@
                 // Trailers concern one connection only.
                 Some(Ok(_)) => {}
                 Some(Err(error)) => {
-                    self.connection = None;
-                    return Poll::Ready(Some(Err(AnswerError::Cut(error))));
+                    let error = self.abort(error);
+                    return Poll::Ready(Some(Err(error)));
+                }
+                // The body must not look whole when its connection was closed here.
+                None if lock(&self.held).expired => {
+                    return Poll::Ready(Some(Err(AnswerError::DeadlinePassed)));
                 }
                 None => {
                     self.finish();
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use super::answer::{Body, json, refuse};
+use super::caller_io::CallerIo;
 use super::{Entry, carry, lookup};
 use crate::process::tasks::Running;
 use crate::request::{Cause, Refusal};
@@ -151,7 +152,7 @@
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD)
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(stream), handler)
+            .serve_connection(TokioIo::new(CallerIo::new(stream)), handler)
     );
     tokio::select! {
         _ = &mut server => return,
@@ -177,7 +178,7 @@
             .initial_connection_window_size(CONNECTION_WINDOW)
             .initial_stream_window_size(STREAM_WINDOW)
             .max_send_buf_size(STREAM_WINDOW as usize)
-            .serve_connection(TokioIo::new(stream), handler)
+            .serve_connection(TokioIo::new(CallerIo::new(stream)), handler)
     );
     tokio::select! {
         _ = &mut server => return,
--- a/crates/filbertgrade/src/process/entry/carry.rs
+++ b/crates/filbertgrade/src/process/entry/carry.rs
@@ -27,10 +27,13 @@
 /// go silent for good while new ones work.
 const SILENCE_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Longest time for reading what a caller still sends after a refusal.
+const REST_TIME: Duration = Duration::from_secs(2);
+
 /// One request, read and checked.
-struct Call {
+struct Call<'a> {
     parts: Parts,
-    upload: Upload<Incoming>,
+    upload: &'a Upload<Incoming>,
     service: ServiceName,
     key: Option<KeySecret>,
     team: Option<TeamName>,
@@ -71,25 +74,45 @@
     req: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Response<Body>, Refusal> {
-    check_form(&req)?;
-    let deadline = arrived + request::deadline_of(req.headers())?;
-    let idempotency_key = request::idempotency_key_of(req.headers())?.map(str::to_owned);
+    let (parts, body) = req.into_parts();
+    let upload = Upload::new(body);
+    let answer = carry_parts(entry, parts, &upload, arrived).await;
+    if answer.is_err() && !upload.is_ended() {
+        tokio::spawn(read_rest(upload));
+    }
+    answer
+}
+
+/// Reads what a caller still sends after a refusal. Closing the connection
+/// under it would reset the connection, and the refusal would be lost.
+async fn read_rest(upload: Upload<Incoming>) {
+    let _ = tokio::time::timeout(REST_TIME, upload.keep()).await;
+}
+
+async fn carry_parts(
+    entry: &Arc<Entry>,
+    mut parts: Parts,
+    upload: &Upload<Incoming>,
+    arrived: Instant,
+) -> Result<Response<Body>, Refusal> {
+    check_form(&parts)?;
+    let deadline = arrived + request::deadline_of(&parts.headers)?;
+    let idempotency_key = request::idempotency_key_of(&parts.headers)?.map(str::to_owned);
     let view = entry.in_force.load_full();
-    let (service, access) = service_of(&view, req.uri())?;
+    let (service, access) = service_of(&view, &parts.uri)?;
     let key = match access {
         Access::Open => None,
-        Access::Key => Some(key_of(&req)?),
+        Access::Key => Some(key_of(&parts)?),
     };
     let team = key
         .as_ref()
         .map(|key| team_of(entry, &view, key))
         .transpose()?;
-    let (mut parts, body) = req.into_parts();
     request::prepare_request(&mut parts.headers, team.as_ref());
     let call = Call {
         idempotent: parts.method.is_idempotent(),
         parts,
-        upload: Upload::new(body),
+        upload,
         service,
         key,
         team,
@@ -112,11 +135,11 @@
 
 /// A well-formed request has a version whose answers tell their end, and
 /// shows its key in no place that a backend server sees.
-fn check_form(req: &Request<Incoming>) -> Result<(), Refusal> {
-    if req.version() < Version::HTTP_11 || req.method() == Method::CONNECT {
+fn check_form(parts: &Parts) -> Result<(), Refusal> {
+    if parts.version < Version::HTTP_11 || parts.method == Method::CONNECT {
         return Err(Refusal::not_run(Cause::BadRequest));
     }
-    if request::holds_key(req.uri().to_string().as_bytes()) {
+    if request::holds_key(parts.uri.to_string().as_bytes()) {
         return Err(Refusal::not_run(Cause::KeyInPath));
     }
     Ok(())
@@ -134,8 +157,9 @@
         .ok_or(Refusal::not_run(Cause::UnknownService))
 }
 
-fn key_of(req: &Request<Incoming>) -> Result<KeySecret, Refusal> {
-    req.headers()
+fn key_of(parts: &Parts) -> Result<KeySecret, Refusal> {
+    parts
+        .headers
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
@@ -155,7 +179,7 @@
 
 /// Reads a small body before the request takes a slot, so that it can be sent
 /// again, and a slow caller holds nothing.
-async fn keep_small_body(call: &Call) -> Result<(), Refusal> {
+async fn keep_small_body(call: &Call<'_>) -> Result<(), Refusal> {
     if !call.upload.is_small() {
         return Ok(());
     }
@@ -167,7 +191,7 @@
     }
 }
 
-async fn claim_key(entry: &Entry, call: &Call, key: &str) -> Result<Claim, Refusal> {
+async fn claim_key(entry: &Entry, call: &Call<'_>, key: &str) -> Result<Claim, Refusal> {
     let Parts { method, uri, .. } = &call.parts;
     let claiming = entry.guard.claim(call.team.as_ref(), key, method, uri);
     tokio::time::timeout_at(call.deadline.into(), claiming)
@@ -188,7 +212,7 @@
 
 async fn send_until_settled(
     entry: &Arc<Entry>,
-    call: &Call,
+    call: &Call<'_>,
     mut claim: Option<&mut Claim>,
 ) -> Result<Response<Body>, Refusal> {
     let mut avoid: Vec<SocketAddr> = Vec::new();
@@ -260,7 +284,7 @@
 /// have been withdrawn meanwhile.
 async fn take_slot(
     entry: &Entry,
-    call: &Call,
+    call: &Call<'_>,
     avoid: Vec<SocketAddr>,
 ) -> Result<(SlotGrant, Arc<InForce>), Refusal> {
     if time_left(call) < SHORTEST_USEFUL {
@@ -283,7 +307,7 @@
 
 async fn attempt(
     entry: &Arc<Entry>,
-    call: &Call,
+    call: &Call<'_>,
     view: &InForce,
     slot: SlotGrant,
     claim: Option<&mut Claim>,
@@ -349,7 +373,7 @@
 }
 
 async fn wait_for_answer(
-    call: &Call,
+    call: &Call<'_>,
     connection: &mut Connection<Busy>,
     req: Request<crate::connection::RequestBody>,
 ) -> Result<Response<Incoming>, Failure> {
@@ -370,7 +394,7 @@
 
 /// The request as the backend server gets it; `None` when no time is left.
 fn request_for(
-    call: &Call,
+    call: &Call<'_>,
     endpoint: SocketAddr,
     body: request::UploadBody<Incoming>,
 ) -> Option<Request<crate::connection::RequestBody>> {
@@ -397,7 +421,7 @@
     Some(req)
 }
 
-fn time_left(call: &Call) -> Duration {
+fn time_left(call: &Call<'_>) -> Duration {
     call.deadline.saturating_duration_since(Instant::now())
 }
 
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod caller;
+mod caller_io;
 mod carry;
 mod feed;
 mod links;
--- a/crates/filbertgrade/src/request/upload.rs
+++ b/crates/filbertgrade/src/request/upload.rs
@@ -96,7 +96,8 @@
         size.is_some_and(|size| size <= KEPT_BYTES as u64)
     }
 
-    /// Reads the whole of a small body, so that a slow caller takes no slot.
+    /// Reads the whole body, and keeps it if it is small. A small body is read
+    /// before the request takes a slot, so that a slow caller holds none.
     ///
     /// # Errors
     ///
@@ -146,6 +147,13 @@
         source.replayable && source.ended
     }
 
+    /// Nothing more comes from the caller.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        let source = self.lock();
+        source.ended || source.fault.is_some()
+    }
+
     /// What went wrong with the caller's side.
     #[must_use]
     pub fn fault(&self) -> Option<UploadFault> {
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -11,5 +11,7 @@
 mod bad_input;
 mod decisions;
 mod http2;
+mod pool;
+mod random_faults;
 mod scenario;
 mod streaming;
--- /dev/null
+++ b/crates/filbertgrade/tests/path/random_faults.rs
@@ -0,0 +1,141 @@
+//! Random faults under load: what callers are told must be true.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertgrade_standins::backend::expected_answer;
+use filbertgrade_standins::proxy::{Direction, Fault};
+use http::Request;
+use http_body_util::Full;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+use crate::fleet::{Fleet, send};
+use crate::scenario::ready_fleet;
+
+/// Time for which faults are injected.
+const RUN: Duration = Duration::from_secs(4);
+
+/// Callers that send one request after the other.
+const CALLERS: u64 = 6;
+
+/// How a request ended for its caller.
+#[derive(Debug)]
+struct End {
+    id: String,
+    order: bool,
+    /// Status and outcome header; `None` when the answer was cut or missing.
+    answer: Option<(u16, Option<String>)>,
+}
+
+/// Guards against an order that runs twice, a refusal as not run of a request
+/// that ran, and an answer of another request, under any mix of faults.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_callers_are_told_is_true(#[values(1, 2, 3)] seed: u64) {
+    let (fleet, secret) = ready_fleet(2).await;
+    let until = Instant::now() + RUN;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|n| {
+            let vm = fleet.vms[n as usize % 2].callers();
+            tokio::spawn(call(vm, secret.clone(), seed * 100 + n, until))
+        })
+        .collect();
+    inject(&fleet, seed, until).await;
+    let mut ends = Vec::new();
+    for caller in callers {
+        ends.extend(caller.await.unwrap());
+    }
+
+    let mut whole = 0;
+    for end in &ends {
+        let ran: u64 = fleet.backends.iter().map(|b| b.ran(&end.id)).sum();
+        if end.order {
+            assert!(ran <= 1, "ran {ran} times: {end:?}");
+        }
+        match &end.answer {
+            Some((_, Some(outcome))) if outcome == "not_run" => {
+                assert_eq!(ran, 0, "{end:?}");
+            }
+            Some((200, None)) => {
+                assert!(ran >= 1, "{end:?}");
+                whole += 1;
+            }
+            _ => {}
+        }
+    }
+    assert!(
+        whole > ends.len() / 4,
+        "{whole} of {} are whole",
+        ends.len()
+    );
+}
+
+async fn inject(fleet: &Fleet, seed: u64, until: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    while Instant::now() < until {
+        let n = rng.random_range(0..2);
+        let (backend, proxy) = (&fleet.backends[n], &fleet.proxies[n]);
+        match rng.random_range(0..9) {
+            0 => backend.swallow_next(1),
+            1 => backend.cut_next_answers(2, 300),
+            2 => backend.close_next_unread(2),
+            3 => backend.silence_open_connections(),
+            4 => proxy.cut_open(),
+            5 => proxy.freeze_open(),
+            6 => backend.set_draining(rng.random_bool(0.3)),
+            7 => {
+                let fault = Fault {
+                    truncate_after: Some(rng.random_range(0..3000)),
+                    ..Fault::default()
+                };
+                let direction = if rng.random_bool(0.5) {
+                    Direction::ToServer
+                } else {
+                    Direction::ToClient
+                };
+                proxy.set_fault(direction, fault);
+            }
+            _ => {
+                proxy.clear_faults();
+                backend.set_draining(false);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+}
+
+async fn call(vm: SocketAddr, secret: String, seed: u64, until: Instant) -> Vec<End> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut ends = Vec::new();
+    while Instant::now() < until {
+        let id = format!("{seed}-{}", ends.len());
+        let order = rng.random_bool(0.6);
+        let body = Bytes::from(vec![b'x'; rng.random_range(0..3000)]);
+        let mut req = Request::builder()
+            .method(if order { "POST" } else { "GET" })
+            .uri("/chart/x?bytes=1000&chunked=1")
+            .header("host", "chart")
+            .header("x-request-id", &id)
+            .header("x-deadline-ms", "400")
+            .header("authorization", format!("Bearer {secret}"));
+        if order && rng.random_bool(0.3) {
+            req = req.header("idempotency-key", &id);
+        }
+        let expected = expected_answer(&id, &body, 1000);
+        let answer = send(vm, req.body(Full::new(body)).unwrap()).await;
+        let answer = answer.ok().map(|answer| {
+            let outcome = answer.headers().get("filbertgrade-outcome");
+            let outcome = outcome.and_then(|o| o.to_str().ok()).map(str::to_owned);
+            let status = answer.status().as_u16();
+            if status == 200 {
+                assert!(*answer.body() == expected, "another answer to {id}");
+            }
+            (status, outcome)
+        });
+        ends.push(End { id, order, answer });
+    }
+    ends
+}
--- a/crates/filbertgrade/tests/path/scenario.rs
+++ b/crates/filbertgrade/tests/path/scenario.rs
@@ -12,11 +12,13 @@
 //!   `proxy n gone=true` closes its address; later ones move up.
 //! - `record KEY`: state and status of an idempotency key in the platform.
 //! - `occupy n requests=N ms=MS`: fills slots of a backend server directly.
-//! - `sleep MS`, `signal n`, `exit n`, `names n vm=m`.
+//! - `connect n`: leaves an idle connection of a caller open.
+//! - `sleep MS`, `signal n [name=INT]`, `exit n`, `names n vm=m`.
 
 use std::collections::HashMap;
 use std::error::Error;
 use std::fmt::Write as _;
+use std::io::{Read, Write as _};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -43,6 +45,7 @@
         fleet,
         secret,
         running: HashMap::new(),
+        idle: Vec::new(),
     };
     goldenscript::run(&mut world, path).unwrap();
 }
@@ -69,6 +72,8 @@
     fleet: Fleet,
     secret: String,
     running: HashMap<String, JoinHandle<String>>,
+    /// Callers' connections without a request.
+    idle: Vec<std::net::TcpStream>,
 }
 
 /// A request and what its whole answer must be.
@@ -131,11 +136,21 @@
             "signal" => {
                 let n: usize = first().parse()?;
                 let id = self.fleet.vms[n - 1].entry.id().to_string();
+                let name = args.take_key("name").unwrap_or("TERM");
                 std::process::Command::new("kill")
-                    .args(["-TERM", &id])
+                    .args([&format!("-{name}"), &id])
                     .status()?;
                 String::new()
             }
+            "connect" => {
+                let n: usize = first().parse()?;
+                let callers = self.fleet.vms[n - 1].callers();
+                let mut stream = std::net::TcpStream::connect(callers)?;
+                stream.write_all(b"GET /v1/lookup HTTP/1.1\r\nhost: x\r\n\r\n")?;
+                stream.read_exact(&mut [0])?;
+                self.idle.push(stream);
+                String::new()
+            }
             "exit" => self.exit(first().parse()?)?,
             "names" => self.names(command)?,
             name => return Err(format!("unknown command {name}").into()),
--- a/crates/filbertgrade/tests/path/streaming.rs
+++ b/crates/filbertgrade/tests/path/streaming.rs
@@ -63,6 +63,43 @@
     assert_eq!(whole.len(), 100_000_000);
 }
 
+/// Guards against a caller that holds a slot beyond its deadline by not
+/// reading its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn slot_of_an_answer_that_is_not_read_is_free_after_the_deadline() {
+    let (fleet, secret) = ready_fleet(1).await;
+    let req = request(&secret, "/chart/big?bytes=100000000", "unread")
+        .header("x-deadline-ms", "800")
+        .body(Full::<Bytes>::default())
+        .unwrap();
+    let stream = tokio::net::TcpStream::connect(fleet.vms[0].callers())
+        .await
+        .unwrap();
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let answer = sender.send_request(req).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(fleet.backends.iter().all(|b| b.busy() == 0));
+    assert!(answer.into_body().collect().await.is_err());
+}
+
+/// Guards against a refusal that an upload's caller cannot read, because the
+/// entry closes the connection under the rest of the upload.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_an_upload_reaches_its_caller() {
+    let (fleet, _) = ready_fleet(1).await;
+    for n in 0..10 {
+        let body = stream::iter(0..400).map(|_| part(b'u'));
+        let answer = stream_to(&fleet, "no-key", &format!("refused-{n}"), body).await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.status(), 401);
+        answer.collect().await.unwrap();
+    }
+}
+
 /// Guards against an upload that looks complete after its caller went away.
 #[tokio::test(flavor = "multi_thread")]
 async fn upload_that_the_caller_cuts_does_not_run() {
