--- /dev/null
+++ b/crates/filbertgrade/tests/path/graceful_stop.rs
@@ -0,0 +1,114 @@
+//! A VM that is stopped under load cuts no request.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertgrade_standins::backend::expected_answer;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::{http1, http2};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::TcpStream;
+
+use crate::scenario::ready_fleet;
+
+/// Guards against a stop that cuts a request on a connection that callers
+/// keep open and use without a pause, or that never ends because they do.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_under_load_cuts_no_request() {
+    let (mut fleet, secret) = ready_fleet(2).await;
+    let vm = fleet.vms[0].callers();
+    let mut callers = Vec::new();
+    for n in 0..6 {
+        let secret = secret.clone();
+        let with_http2 = n % 2 == 0;
+        callers.push(tokio::spawn(async move {
+            // Until the VM takes no new connections.
+            let mut served = 0;
+            while let Ok(stream) = TcpStream::connect(vm).await {
+                let tag = format!("{n}-{served}");
+                served += if with_http2 {
+                    over_http2(stream, &secret, &tag).await
+                } else {
+                    over_http1(stream, &secret, &tag).await
+                };
+            }
+            served
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let id = fleet.vms[0].entry.id().to_string();
+    std::process::Command::new("kill")
+        .args(["-TERM", &id])
+        .status()
+        .unwrap();
+
+    for caller in callers {
+        assert!(caller.await.unwrap() > 0);
+    }
+    let start = Instant::now();
+    let status = loop {
+        if let Some(status) = fleet.vms[0].entry.try_wait().unwrap() {
+            break status;
+        }
+        assert!(start.elapsed() < Duration::from_secs(10), "still running");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(status.success(), "{status}");
+}
+
+fn order(secret: &str, target: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::post(target)
+        .header("host", "chart")
+        .header("x-request-id", id)
+        .header("authorization", format!("Bearer {secret}"))
+        .body(Full::default())
+        .unwrap()
+}
+
+/// Sends orders until the answer says that the connection ends.
+async fn over_http1(stream: TcpStream, secret: &str, tag: &str) -> usize {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    for n in 0.. {
+        let id = format!("{tag}-{n}");
+        let req = order(secret, "/chart/order?bytes=20000", &id);
+        let answer = sender.send_request(req).await;
+        let answer = answer.unwrap_or_else(|e| panic!("{id} is cut: {e}"));
+        assert_eq!(answer.status(), 200, "{id}: {:?}", answer.headers());
+        let ends = answer.headers().contains_key("connection");
+        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        assert!(body == expected_answer(&id, b"", 20_000), "{id}");
+        if ends {
+            return n + 1;
+        }
+    }
+    0
+}
+
+/// Sends orders until the VM accepts no more on this connection.
+async fn over_http2(stream: TcpStream, secret: &str, tag: &str) -> usize {
+    let (mut sender, connection) = http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    for n in 0.. {
+        let id = format!("{tag}-{n}");
+        let req = order(secret, "http://chart/chart/order?bytes=20000", &id);
+        if sender.ready().await.is_err() {
+            return n;
+        }
+        let answer = match sender.try_send_request(req).await {
+            Ok(answer) => answer,
+            Err(mut error) => {
+                // A request that comes back was never sent.
+                assert!(error.take_message().is_some(), "{id} is cut: {error:?}");
+                return n;
+            }
+        };
+        assert_eq!(answer.status(), 200, "{id}: {:?}", answer.headers());
+        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        assert!(body == expected_answer(&id, b"", 20_000), "{id}");
+    }
+    0
+}
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -10,6 +10,7 @@
 
 mod bad_input;
 mod decisions;
+mod graceful_stop;
 mod http2;
 mod pool;
 mod random_faults;
--- a/crates/filbertgrade/tests/path/random_faults.rs
+++ b/crates/filbertgrade/tests/path/random_faults.rs
@@ -18,6 +18,10 @@
 /// Time for which faults are injected.
 const RUN: Duration = Duration::from_secs(4);
 
+/// Times that a caller sends an order with the same idempotency key, until it
+/// gets its answer.
+const KEYED_SENDS: usize = 4;
+
 /// Callers that send one request after the other.
 const CALLERS: u64 = 6;
 
@@ -37,11 +41,9 @@
 async fn what_callers_are_told_is_true(#[values(1, 2, 3)] seed: u64) {
     let (fleet, secret) = ready_fleet(2).await;
     let until = Instant::now() + RUN;
+    let vms = [fleet.vms[0].callers(), fleet.vms[1].callers()];
     let callers: Vec<_> = (0..CALLERS)
-        .map(|n| {
-            let vm = fleet.vms[n as usize % 2].callers();
-            tokio::spawn(call(vm, secret.clone(), seed * 100 + n, until))
-        })
+        .map(|n| tokio::spawn(call(vms, secret.clone(), seed * 100 + n, until)))
         .collect();
     inject(&fleet, seed, until).await;
     let mut ends = Vec::new();
@@ -78,7 +80,7 @@
     while Instant::now() < until {
         let n = rng.random_range(0..2);
         let (backend, proxy) = (&fleet.backends[n], &fleet.proxies[n]);
-        match rng.random_range(0..9) {
+        match rng.random_range(0..11) {
             0 => backend.swallow_next(1),
             1 => backend.cut_next_answers(2, 300),
             2 => backend.close_next_unread(2),
@@ -98,6 +100,12 @@
                 };
                 proxy.set_fault(direction, fault);
             }
+            8 => fleet.platform.lose_next_answers(2),
+            9 => {
+                fleet.platform.set_down(true);
+                tokio::time::sleep(Duration::from_millis(150)).await;
+                fleet.platform.set_down(false);
+            }
             _ => {
                 proxy.clear_faults();
                 backend.set_draining(false);
@@ -107,35 +115,59 @@
     }
 }
 
-async fn call(vm: SocketAddr, secret: String, seed: u64, until: Instant) -> Vec<End> {
+async fn call(vms: [SocketAddr; 2], secret: String, seed: u64, until: Instant) -> Vec<End> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut ends = Vec::new();
+    let mut ends: Vec<End> = Vec::new();
     while Instant::now() < until {
         let id = format!("{seed}-{}", ends.len());
         let order = rng.random_bool(0.6);
+        let keyed = order && rng.random_bool(0.3);
         let body = Bytes::from(vec![b'x'; rng.random_range(0..3000)]);
-        let mut req = Request::builder()
+        let req = Request::builder()
             .method(if order { "POST" } else { "GET" })
             .uri("/chart/x?bytes=1000&chunked=1")
             .header("host", "chart")
             .header("x-request-id", &id)
             .header("x-deadline-ms", "400")
+            .header("idempotency-key", if keyed { &id } else { "unused" })
             .header("authorization", format!("Bearer {secret}"));
-        if order && rng.random_bool(0.3) {
-            req = req.header("idempotency-key", &id);
+        let mut req = req.body(Full::new(body.clone())).unwrap();
+        if !keyed {
+            req.headers_mut().remove("idempotency-key");
         }
         let expected = expected_answer(&id, &body, 1000);
-        let answer = send(vm, req.body(Full::new(body)).unwrap()).await;
-        let answer = answer.ok().map(|answer| {
-            let outcome = answer.headers().get("filbertgrade-outcome");
-            let outcome = outcome.and_then(|o| o.to_str().ok()).map(str::to_owned);
-            let status = answer.status().as_u16();
-            if status == 200 {
-                assert!(*answer.body() == expected, "another answer to {id}");
-            }
-            (status, outcome)
+        let first = seed as usize % 2;
+        let mut end = end_of(vms[first], req.clone(), &id, &expected).await;
+        let mut sends = 1;
+        while keyed && sends < KEYED_SENDS && !matches!(end, Some((200, _))) {
+            end = end_of(vms[(first + sends) % 2], req.clone(), &id, &expected).await;
+            sends += 1;
+        }
+        if keyed && sends > 1 {
+            // It tells about the last attempt only.
+            end = end.filter(|(status, _)| *status == 200);
+        }
+        ends.push(End {
+            id,
+            order,
+            answer: end,
         });
-        ends.push(End { id, order, answer });
     }
     ends
 }
+
+async fn end_of(
+    vm: SocketAddr,
+    req: Request<Full<Bytes>>,
+    id: &str,
+    expected: &Bytes,
+) -> Option<(u16, Option<String>)> {
+    let answer = send(vm, req).await.ok()?;
+    let outcome = answer.headers().get("filbertgrade-outcome");
+    let outcome = outcome.and_then(|o| o.to_str().ok()).map(str::to_owned);
+    let status = answer.status().as_u16();
+    if status == 200 {
+        assert!(answer.body() == expected, "another answer to {id}");
+    }
+    Some((status, outcome))
+}
