Send deltas above one frame in pages

Cause: a pull reply or feed carried its whole delta in one frame, and the frame codec refuses more than 1 MiB, so a configuration of several megabytes reached no entry and no agent without the store.

Ruled out: pages in order of revision that are applied one by one. The copy would hold a mixture of revisions between two pages. Pages of the newest state instead of one revision start anew with every change.

Now the sender keeps a delta as it was at its first page, for 5 s after the last page, and the receiver applies it once it is complete. An agent takes in one long delta at a time; other pulls meanwhile get deltas of one page.

The harness gets proxies in front of VMs and of the store.

--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -22,7 +22,7 @@
 use crate::connection::serve_frames;
 use crate::platform::{HttpPlatform, Platform, Revision};
 use crate::process::settings::NodeSettings;
-use crate::version::VmRecord;
+use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::Report;
 
 /// Longest wait before the entry's request for state is answered.
@@ -55,6 +55,11 @@
     pub(crate) settings: NodeSettings,
     pub(crate) platform: Arc<dyn Platform>,
     state: Mutex<State>,
+    /// Deltas to peers and to the entry that take more than one page.
+    pub(crate) outgoing: Mutex<OutgoingDeltas>,
+    /// Held while a delta of more than one page comes in, so that the same
+    /// objects do not come from several peers at once.
+    pub(crate) transfer: tokio::sync::Mutex<()>,
     /// Revision held; tasks wait for it to grow.
     pub(crate) revision: watch::Sender<Revision>,
     /// Last report of the entry.
@@ -84,6 +89,8 @@
             settings,
             platform,
             state: Mutex::new(state),
+            outgoing: Mutex::default(),
+            transfer: tokio::sync::Mutex::default(),
             revision: watch::Sender::new(0),
             report: Mutex::new(None),
             reported_at: Mutex::new(None),
--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -6,13 +6,16 @@
 use filbertgrade_coord::freshness::RegionAges;
 
 use super::{Agent, FEED_WAIT};
-use crate::version::delta_for;
+use crate::version::OutgoingDeltas;
 use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
 
 /// The entry reports after every feed, at least every [`FEED_WAIT`]. Without a
 /// report for this time it is not running, and what it held counts for nothing.
 const ENTRY_SILENT_AFTER: Duration = Duration::from_secs(2);
 
+/// Receiver of deltas to the entry. It is no name of a VM.
+const OWN_ENTRY: &str = "";
+
 pub(crate) async fn answer(agent: Arc<Agent>, body: Body) -> Option<Body> {
     match body {
         Body::Hello(hello) => Some(Body::Feed(feed(&agent, &hello).await)),
@@ -31,10 +34,13 @@
     let newer = revision.wait_for(|held| *held > hello.revision);
     let _ = tokio::time::timeout(FEED_WAIT, newer).await;
     let state = agent.state();
-    let valid = state.valid_for(Instant::now());
+    let now = Instant::now();
+    let valid = state.valid_for(now);
+    let mut outgoing = lock(&agent.outgoing);
     Feed {
-        delta: delta_for(&state.objects, hello.revision),
+        delta: outgoing.page(&state.objects, OWN_ENTRY, hello.revision, hello.resume, now),
         valid_ms: valid.as_millis().try_into().unwrap_or(u32::MAX),
+        revision: state.objects.revision(),
     }
 }
 
@@ -46,12 +52,20 @@
 
 fn pull_reply(agent: &Agent, pull: &Pull) -> PullReply {
     let state = agent.state();
+    let now = Instant::now();
     let held = state.objects.revision();
+    let delta = if pull.one_page_only {
+        OutgoingDeltas::default()
+            .page(&state.objects, &pull.vm, pull.revision, None, now)
+            .filter(|page| page.objects.len() as u64 == page.total)
+    } else {
+        lock(&agent.outgoing).page(&state.objects, &pull.vm, pull.revision, pull.resume, now)
+    };
     PullReply {
-        delta: delta_for(&state.objects, pull.revision),
+        delta,
         regions: state
             .freshness
-            .ages(Instant::now(), held)
+            .ages(now, held)
             .into_iter()
             .map(RegionEvidence::from)
             .collect(),
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -11,8 +11,8 @@
 
 use super::Agent;
 use crate::connection::PeerLink;
-use crate::version::{VmRecord, apply_delta};
-use crate::wire::{Body, Pull, PullReply};
+use crate::version::{IncomingDelta, VmRecord, apply_delta};
+use crate::wire::{Body, Delta, Pull, PullReply};
 
 /// Time between two rounds.
 const PULL_PERIOD: Duration = Duration::from_millis(250);
@@ -62,22 +62,50 @@
     link
 }
 
+/// Pulls once, or until a delta of several pages is complete.
 async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord) {
-    let sent = Instant::now();
-    let pull = Pull {
-        vm: agent.settings.vm.to_string(),
-        revision: *agent.revision.borrow(),
-    };
-    match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
-        Ok(Body::PullReply(reply)) => take_reply(&agent, reply, &peer, sent),
-        Ok(_) => log::warn!("event=pull_misanswered peer={}", peer.name),
-        Err(error) => log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name),
+    let mut incoming = IncomingDelta::default();
+    let mut transfer = None;
+    loop {
+        let sent = Instant::now();
+        let pull = Pull {
+            vm: agent.settings.vm.to_string(),
+            revision: *agent.revision.borrow(),
+            resume: incoming.resume(),
+            one_page_only: transfer.is_none() && agent.transfer.try_lock().is_err(),
+        };
+        match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
+            Ok(Body::PullReply(reply)) => take_reply(&agent, &mut incoming, reply, &peer, sent),
+            Ok(_) => {
+                log::warn!("event=pull_misanswered peer={}", peer.name);
+                return;
+            }
+            Err(error) => {
+                log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name);
+                return;
+            }
+        }
+        if incoming.resume().is_none() {
+            return;
+        }
+        if transfer.is_none() {
+            transfer = agent.transfer.try_lock().ok();
+        }
+        if transfer.is_none() {
+            return;
+        }
     }
 }
 
-fn take_reply(agent: &Agent, reply: PullReply, peer: &VmRecord, sent: Instant) {
-    if let Some(delta) = reply.delta
-        && let Err(error) = agent.advance(|objects| apply_delta(objects, delta))
+fn take_reply(
+    agent: &Agent,
+    incoming: &mut IncomingDelta,
+    reply: PullReply,
+    peer: &VmRecord,
+    sent: Instant,
+) {
+    if let Some(page) = reply.delta
+        && let Err(error) = take_page(agent, incoming, page)
     {
         log::warn!("event=pull_rejected peer={} error=\"{error}\"", peer.name);
         return;
@@ -91,3 +119,14 @@
     state.freshness.hear(sent, &peer.region, reply.revision);
     state.freshness.absorb(sent, &ages);
 }
+
+fn take_page(
+    agent: &Agent,
+    incoming: &mut IncomingDelta,
+    page: Delta,
+) -> Result<(), Box<dyn std::error::Error>> {
+    if let Some(delta) = incoming.take(page)? {
+        agent.advance(|objects| apply_delta(objects, delta))?;
+    }
+    Ok(())
+}
--- a/crates/filbertgrade/src/process/entry/feed.rs
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -9,7 +9,7 @@
 
 use super::Entry;
 use crate::connection::PeerLink;
-use crate::version::InForce;
+use crate::version::{InForce, IncomingDelta};
 use crate::wire::{Body, Feed, Hello, Report};
 
 /// Time for one answer of the agent, which answers at once or when its state
@@ -25,14 +25,16 @@
     let address = SocketAddr::new(settings.address, settings.ports.agent_peer);
     let link = PeerLink::new(address, Some(settings.address));
     let mut objects = VersionedMap::new(0);
+    let mut incoming = IncomingDelta::default();
     loop {
         let sent = Instant::now();
         let hello = Hello {
             revision: objects.revision(),
+            resume: incoming.resume(),
         };
         match link.call(Body::Hello(hello), FEED_TIMEOUT).await {
             Ok(Body::Feed(feed)) => {
-                take_feed(&entry, &mut objects, feed, sent);
+                take_feed(&entry, &mut objects, &mut incoming, feed, sent);
                 let _ = link.notify(Body::Report(report(&entry))).await;
             }
             Ok(_) => tokio::time::sleep(RETRY_PAUSE).await,
@@ -44,13 +46,21 @@
     }
 }
 
-fn take_feed(entry: &Entry, objects: &mut VersionedMap<Bytes>, feed: Feed, sent: Instant) {
-    if let Some(delta) = feed.delta {
-        match crate::version::apply_delta(objects, delta) {
+fn take_feed(
+    entry: &Entry,
+    objects: &mut VersionedMap<Bytes>,
+    incoming: &mut IncomingDelta,
+    feed: Feed,
+    sent: Instant,
+) {
+    match feed.delta.map(|page| incoming.take(page)) {
+        Some(Ok(Some(delta))) => match crate::version::apply_delta(objects, delta) {
             Ok(Applied::Advanced(names)) => put_in_force(entry, objects, &names),
             Ok(Applied::Stale | Applied::Gap { .. }) => {}
             Err(error) => log::warn!("event=feed_rejected error=\"{error}\""),
-        }
+        },
+        Some(Err(error)) => log::warn!("event=feed_rejected error=\"{error}\""),
+        Some(Ok(None)) | None => {}
     }
     let until = sent + Duration::from_millis(feed.valid_ms.into());
     let until = (feed.valid_ms > 0).then_some(until);
--- a/crates/filbertgrade/src/version/delta.rs
+++ b/crates/filbertgrade/src/version/delta.rs
@@ -1,6 +1,8 @@
 //! Deltas of the object map as they travel between processes.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use filbertgrade_coord::versioned::{
@@ -8,10 +10,175 @@
 };
 
 use crate::platform::{Changes, Revision};
-use crate::wire;
+use crate::wire::{self, Resume};
+
+/// Bytes of objects in one page, unless a single object is larger. With an
+/// object of 1 MB, a page stays within the frame limit.
+const PAGE_BYTES: usize = 512 * 1024;
+
+/// Overhead of one object in a page besides its name and value, in bytes.
+const OBJECT_BYTES: usize = 32;
+
+/// Longest delta that a receiver collects. It bounds the memory that a faulty
+/// peer takes, well above the objects of the largest fleet.
+const COLLECTED_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time after which a delta whose receiver asked for no further page is forgotten.
+const KEPT_FOR: Duration = Duration::from_secs(5);
+
+/// Deltas kept at a time for receivers that have only a part of them.
+const MOST_KEPT: usize = 64;
+
+/// The sending side of deltas that take more than one page.
+///
+/// A delta is kept as it was when its first page was sent, so that a receiver
+/// completes it although the state changes meanwhile.
+#[derive(Debug, Default)]
+pub(crate) struct OutgoingDeltas {
+    kept: VecDeque<KeptDelta>,
+}
+
+#[derive(Debug)]
+struct KeptDelta {
+    receiver: String,
+    delta: wire::Delta,
+    used_at: Instant,
+}
+
+/// The receiving side of a delta that takes more than one page.
+#[derive(Debug, Default)]
+pub(crate) struct IncomingDelta {
+    /// The pages so far, in one; never complete.
+    collected: Option<wire::Delta>,
+    bytes: usize,
+}
+
+/// A page that does not continue the pages before it, or is too much.
+#[derive(Debug, thiserror::Error)]
+#[error("page at object {first} of {total} does not follow {collected} objects of {bytes} bytes")]
+pub(crate) struct PageError {
+    first: u64,
+    total: u64,
+    collected: u64,
+    bytes: usize,
+}
+
+impl OutgoingDeltas {
+    /// What `receiver`, whose copy is at `revision`, gets next; `None` when it
+    /// is up to date.
+    pub(crate) fn page(
+        &mut self,
+        objects: &VersionedMap<Bytes>,
+        receiver: &str,
+        revision: Revision,
+        resume: Option<Resume>,
+        now: Instant,
+    ) -> Option<wire::Delta> {
+        self.kept.retain(|kept| now < kept.used_at + KEPT_FOR);
+        if let Some(resume) = resume
+            && let Some(kept) = self.kept.iter_mut().find(|kept| {
+                kept.receiver == receiver
+                    && (kept.delta.from, kept.delta.to) == (resume.from, resume.to)
+            })
+        {
+            kept.used_at = now;
+            return Some(page_of(&kept.delta, resume.next));
+        }
+        let delta = delta_for(objects, revision)?;
+        let page = page_of(&delta, 0);
+        if page.objects.len() < delta.objects.len() {
+            self.kept.retain(|kept| kept.receiver != receiver);
+            if self.kept.len() == MOST_KEPT {
+                self.kept.pop_front();
+            }
+            self.kept.push_back(KeptDelta {
+                receiver: receiver.to_owned(),
+                delta,
+                used_at: now,
+            });
+        }
+        Some(page)
+    }
+}
+
+impl IncomingDelta {
+    /// The page to ask for next, if a delta is incomplete.
+    pub(crate) fn resume(&self) -> Option<Resume> {
+        self.collected.as_ref().map(|delta| Resume {
+            from: delta.from,
+            to: delta.to,
+            next: delta.objects.len() as u64,
+        })
+    }
+
+    /// Takes one page, and returns the delta once it is complete. A first page
+    /// starts anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the page does not continue the ones before it. They are
+    /// forgotten then.
+    pub(crate) fn take(&mut self, page: wire::Delta) -> Result<Option<wire::Delta>, PageError> {
+        let before = self.collected.take().filter(|_| page.first > 0);
+        let mut bytes = if before.is_some() { self.bytes } else { 0 };
+        bytes += page.objects.iter().map(object_bytes).sum::<usize>();
+        let collected = before
+            .as_ref()
+            .map_or(0, |delta| delta.objects.len() as u64);
+        let continues = before.as_ref().is_none_or(|delta| {
+            (delta.from, delta.to, delta.snapshot, delta.total)
+                == (page.from, page.to, page.snapshot, page.total)
+        });
+        let empty = page.objects.is_empty() && page.total > 0;
+        if page.first != collected || !continues || empty || bytes > COLLECTED_BYTES {
+            return Err(PageError {
+                first: page.first,
+                total: page.total,
+                collected,
+                bytes,
+            });
+        }
+        let delta = match before {
+            Some(mut delta) => {
+                delta.objects.extend(page.objects);
+                delta
+            }
+            None => page,
+        };
+        if delta.objects.len() as u64 >= delta.total {
+            return Ok(Some(delta));
+        }
+        self.bytes = bytes;
+        self.collected = Some(delta);
+        Ok(None)
+    }
+}
+
+/// The page of `delta` that starts after its first `first` objects.
+fn page_of(delta: &wire::Delta, first: u64) -> wire::Delta {
+    let rest = delta.objects.get(first as usize..).unwrap_or_default();
+    let mut bytes = 0;
+    let fitting = rest.iter().take_while(|object| {
+        bytes += object_bytes(object);
+        bytes <= PAGE_BYTES
+    });
+    let count = fitting.count().max(1).min(rest.len());
+    wire::Delta {
+        from: delta.from,
+        to: delta.to,
+        objects: rest[..count].to_vec(),
+        snapshot: delta.snapshot,
+        first,
+        total: delta.objects.len() as u64,
+    }
+}
+
+fn object_bytes(object: &wire::Object) -> usize {
+    object.name.len() + object.value.as_ref().map_or(0, Bytes::len) + OBJECT_BYTES
+}
 
 /// What a copy at `revision` lacks; `None` when it is up to date.
-pub(crate) fn delta_for(objects: &VersionedMap<Bytes>, revision: Revision) -> Option<wire::Delta> {
+fn delta_for(objects: &VersionedMap<Bytes>, revision: Revision) -> Option<wire::Delta> {
     match objects.delta_since(revision) {
         Catchup::UpToDate => None,
         Catchup::Delta(delta) => Some(delta.into()),
@@ -85,6 +252,8 @@
                 })
                 .collect(),
             snapshot: false,
+            first: 0,
+            total: 0,
         }
     }
 }
@@ -104,6 +273,8 @@
                 })
                 .collect(),
             snapshot: true,
+            first: 0,
+            total: 0,
         }
     }
 }
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -13,7 +13,7 @@
     Access, Config, ConfigChange, ConfigError, ConfigFile, ConfigLine, ConfigValue, Fault, Network,
     RegionConfig, ServiceConfig, TeamConfig,
 };
-pub(crate) use delta::{apply_delta, delta_for};
+pub(crate) use delta::{IncomingDelta, OutgoingDeltas, apply_delta};
 pub use fleet::{VmRecord, VmState};
 pub use in_force::{AppliedVersion, CONFIG_ROOT, ConfigRoot, InForce, RECENT_APPLIES};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -84,6 +84,23 @@
     /// Revision that the entry already holds.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The next page of a delta that the entry holds in part.
+    #[prost(message, optional, tag = "2")]
+    pub resume: Option<Resume>,
+}
+
+/// Asks for the next page of a delta.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Resume {
+    /// Revision that the delta starts from.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Revision that the delta leads to.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// Objects of the delta that have arrived.
+    #[prost(uint64, tag = "3")]
+    pub next: u64,
 }
 
 /// One object of the platform as it is passed on; no value marks a removal.
@@ -100,7 +117,8 @@
     pub value: Option<bytes::Bytes>,
 }
 
-/// A change of state from one revision to a later one.
+/// A change of state from one revision to a later one, or one page of it. The
+/// receiver holds revision `to` only once it has every page.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Delta {
     /// Revision that the receiver must hold, unless this is a snapshot.
@@ -115,6 +133,12 @@
     /// The objects are all that exist at `to`, so others are removed.
     #[prost(bool, tag = "4")]
     pub snapshot: bool,
+    /// Objects of the delta that come before those of this page.
+    #[prost(uint64, tag = "5")]
+    pub first: u64,
+    /// Objects of all pages together.
+    #[prost(uint64, tag = "6")]
+    pub total: u64,
 }
 
 /// State from the agent to the entry.
@@ -127,6 +151,9 @@
     /// sending; 0 when the VM is isolated.
     #[prost(uint32, tag = "2")]
     pub valid_ms: u32,
+    /// Revision that the agent holds, and that `valid_ms` is about.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// State from the entry to its agent.
@@ -153,6 +180,13 @@
     /// Revision that the asking agent holds.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// The next page of a delta that the asking agent holds in part.
+    #[prost(message, optional, tag = "3")]
+    pub resume: Option<Resume>,
+    /// A delta of more than one page is not wanted, because another one is on
+    /// its way to the asking agent.
+    #[prost(bool, tag = "4")]
+    pub one_page_only: bool,
 }
 
 /// Newest evidence from one region. Ages count back from sending.
--- /dev/null
+++ b/crates/filbertgrade/tests/agents/main.rs
@@ -0,0 +1,12 @@
+//! Tests of configuration, keys and membership while parts fail.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a set-up step that fails must fail the test"
+)]
+
+mod config;
+#[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "the harness serves more than these tests")]
+mod fleet;
+mod load;
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -8,11 +8,14 @@
 use bytes::Bytes;
 use filbertgrade_standins::backend::{BackendConfig, BackendServer};
 use filbertgrade_standins::platform::{PlatformServer, VmEntry};
-use filbertgrade_standins::proxy::FaultProxy;
+use filbertgrade_standins::proxy::{Direction, Fault, FaultProxy};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 
+/// Ports of a VM that other VMs and callers connect to.
+const VM_PORTS: [u16; 3] = [7080, 7081, 7082];
+
 const BINARY: &str = env!("CARGO_BIN_EXE_filbertgrade");
 
 /// Second octets of fleets' addresses.
@@ -79,7 +82,22 @@
     /// Between the entries and the backend server of the same index.
     pub(crate) proxies: Vec<FaultProxy>,
     pub(crate) vms: Vec<Vm>,
+    /// Between the VMs and the platform.
+    pub(crate) store_proxy: FaultProxy,
     octet: u8,
+    /// Whether the platform lists the address of a proxy for each VM, so that
+    /// traffic between VMs passes it.
+    proxied: bool,
+    regions: Regions,
+}
+
+/// Where the VMs of a fleet are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Regions {
+    /// Odd VMs in `north`, even ones in `south`.
+    Alternate,
+    /// All VMs in `north`.
+    One,
 }
 
 /// One VM: its entry and its agent.
@@ -88,12 +106,34 @@
     pub(crate) address: IpAddr,
     pub(crate) entry: Child,
     pub(crate) agent: Child,
+    /// In front of the VM's ports, in the order of `VM_PORTS`, if the fleet is proxied.
+    pub(crate) proxies: Vec<FaultProxy>,
+    /// As the platform lists it.
+    pub(crate) listed: VmEntry,
+    store: SocketAddr,
 }
 
 impl Fleet {
     /// Starts a platform, two backend servers and `vms` VMs, alternately in
     /// the two regions.
     pub(crate) async fn start(vms: u8) -> Self {
+        let mut fleet = Self::stand_ins(false, Regions::Alternate).await;
+        for n in 1..=vms {
+            fleet.add_vm(n);
+        }
+        fleet
+    }
+
+    /// Starts a fleet in which traffic between VMs passes proxies.
+    pub(crate) async fn start_proxied(vms: u8, regions: Regions) -> Self {
+        let mut fleet = Self::stand_ins(true, regions).await;
+        for n in 1..=vms {
+            fleet.add_proxied_vm(n).await;
+        }
+        fleet
+    }
+
+    async fn stand_ins(proxied: bool, regions: Regions) -> Self {
         let (octet, platform) = free_octet().await;
         let mut proxies = Vec::new();
         let mut backends = Vec::new();
@@ -110,59 +150,100 @@
             let proxy = FaultProxy::bind(address(octet, 9, n, 9000), address(octet, 10, n, 9000));
             proxies.push(proxy.await.unwrap());
         }
-        let mut fleet = Self {
+        let store_proxy = FaultProxy::bind(address(octet, 8, 2, 6000), platform.addr());
+        Self {
+            store_proxy: store_proxy.await.unwrap(),
             platform,
             backends,
             proxies,
             vms: Vec::new(),
             octet,
-        };
-        for n in 1..=vms {
-            fleet.add_vm(n);
+            proxied,
+            regions,
         }
-        fleet
     }
 
     /// Starts the processes of one VM and puts it on the platform's list.
     pub(crate) fn add_vm(&mut self, n: u8) {
-        let region = if n % 2 == 1 { "north" } else { "south" };
-        let name = format!("vm-{n}");
-        let address = address(self.octet, 1, n, 0).ip();
-        let vm = VmEntry {
-            name: name.clone(),
-            address: address.to_string(),
+        let listed = self.listed(n);
+        self.platform.put_vm(&listed);
+        let store = self.platform.addr();
+        self.launch(n, listed, store, Vec::new());
+    }
+
+    /// Starts the processes of one VM behind proxies of its own.
+    pub(crate) async fn add_proxied_vm(&mut self, n: u8) {
+        let listed = self.listed(n);
+        let mut proxies = Vec::new();
+        for port in VM_PORTS {
+            let (at, to) = (
+                address(self.octet, 2, n, port),
+                address(self.octet, 1, n, port),
+            );
+            proxies.push(FaultProxy::bind(at, to).await.unwrap());
+        }
+        self.platform.put_vm(&listed);
+        let store = self.store_proxy.addr();
+        self.launch(n, listed, store, proxies);
+    }
+
+    fn listed(&self, n: u8) -> VmEntry {
+        let north = self.regions == Regions::One || n % 2 == 1;
+        let region = if north { "north" } else { "south" };
+        let third = if self.proxied { 2 } else { 1 };
+        VmEntry {
+            name: format!("vm-{n}"),
+            address: address(self.octet, third, n, 0).ip().to_string(),
             region: region.to_owned(),
             failure_domain: format!("{region}-a"),
             state: "live".to_owned(),
-        };
-        self.platform.put_vm(&vm);
-        let start = |role: &str| {
-            Command::new(BINARY)
-                .arg(role)
-                .args(["--vm", &vm.name, "--address", &vm.address])
-                .args([
-                    "--region",
-                    &vm.region,
-                    "--failure-domain",
-                    &vm.failure_domain,
-                ])
-                .args(["--store", &self.platform.addr().to_string()])
-                .env("RUST_LOG", "error")
-                .stdin(Stdio::null())
-                .stdout(Stdio::null())
-                .spawn()
-                .unwrap()
-        };
-        let agent = start("agent");
-        let entry = start("entry");
+        }
+    }
+
+    fn launch(&mut self, n: u8, listed: VmEntry, store: SocketAddr, proxies: Vec<FaultProxy>) {
+        let address = address(self.octet, 1, n, 0).ip();
         self.vms.push(Vm {
-            name,
+            name: listed.name.clone(),
             address,
-            entry,
-            agent,
+            agent: spawn("agent", address, store, &listed),
+            entry: spawn("entry", address, store, &listed),
+            proxies,
+            listed,
+            store,
         });
     }
 
+    /// Cuts the VMs of `cut` from the platform, or ends that.
+    pub(crate) fn cut_from_store(&self, cut: &[usize], on: bool) {
+        for &vm in cut {
+            let source = self.vms[vm].address;
+            self.store_proxy.set_refuse_from(source, on);
+            if on {
+                self.store_proxy.cut_open_from(source);
+            }
+        }
+    }
+
+    /// Makes the links between the VMs of `cut` and all others silent, or ends that.
+    pub(crate) fn cut_from_peers(&self, cut: &[usize], on: bool) {
+        let fault = || Fault {
+            silent: on,
+            ..Fault::default()
+        };
+        for from in 0..self.vms.len() {
+            for to in 0..self.vms.len() {
+                if cut.contains(&from) == cut.contains(&to) {
+                    continue;
+                }
+                for proxy in &self.vms[to].proxies {
+                    let source = self.vms[from].address;
+                    proxy.set_fault_from(source, Direction::ToServer, fault());
+                    proxy.set_fault_from(source, Direction::ToClient, fault());
+                }
+            }
+        }
+    }
+
     /// Text of the fleet's configuration.
     pub(crate) fn config(&self) -> String {
         CONFIG.replace("OCTET", &self.octet.to_string())
@@ -209,6 +290,29 @@
 }
 
 impl Vm {
+    /// Sends a signal such as `STOP` or `CONT` to the processes.
+    pub(crate) fn signal(processes: &[&Child], signal: &str) {
+        let ids = processes.iter().map(|child| child.id().to_string());
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .args(ids)
+            .status()
+            .unwrap();
+        assert!(status.success(), "kill -{signal} failed");
+    }
+
+    /// Kills the agent and starts a new one.
+    pub(crate) fn restart_agent(&mut self) {
+        end(&mut self.agent);
+        self.agent = spawn("agent", self.address, self.store, &self.listed);
+    }
+
+    /// Kills the entry and starts a new one.
+    pub(crate) fn restart_entry(&mut self) {
+        end(&mut self.entry);
+        self.entry = spawn("entry", self.address, self.store, &self.listed);
+    }
+
     /// Address of the callers' port.
     pub(crate) fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address, 7080)
@@ -218,12 +322,30 @@
 impl Drop for Vm {
     fn drop(&mut self) {
         for child in [&mut self.entry, &mut self.agent] {
-            let _ = child.kill();
-            let _ = child.wait();
+            end(child);
         }
     }
 }
 
+fn end(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+fn spawn(role: &str, address: IpAddr, store: SocketAddr, listed: &VmEntry) -> Child {
+    Command::new(BINARY)
+        .arg(role)
+        .args(["--vm", &listed.name, "--address", &address.to_string()])
+        .args(["--region", &listed.region])
+        .args(["--failure-domain", &listed.failure_domain])
+        .args(["--store", &store.to_string()])
+        .env("RUST_LOG", "error")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
 /// Sends one request on a connection of its own and reads the whole answer.
 pub(crate) async fn send(
     address: SocketAddr,
--- a/crates/filbertgrade/tests/it/main.rs
+++ b/crates/filbertgrade/tests/it/main.rs
@@ -5,5 +5,6 @@
     reason = "a set-up step that fails must fail the test"
 )]
 
+#[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 mod thin_path;
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -6,6 +6,7 @@
 )]
 
 #[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 
 mod bad_input;
