Lend all rate that own demand leaves free, and keep one token

Cause: every VM kept a tenth of its base from lending. With a team's callers on two of ten VMs, eight idle VMs kept 8% of the team's rate, so a team at 95% of its rate was refused. Ruled out: no reserve at all, because the first request at an idle VM would then wait for a loan.

--- a/crates/filbertgrade-coord/src/ledger.rs
+++ b/crates/filbertgrade-coord/src/ledger.rs
@@ -76,8 +76,11 @@
     pub demand_window: Duration,
     /// Factor on the measured arrival rate when it is compared with a rate. Default 1.1.
     pub demand_headroom: f64,
-    /// Fraction of the base that is never lent, so that the first requests
-    /// after a quiet time need no loan. Default 0.1.
+    /// Burst, with its tokens, that is never lent, so that the first request
+    /// after a quiet time needs no loan. Default 1 token.
+    ///
+    /// Rate is not kept back: what idle VMs keep is lost to the busy ones, and
+    /// a team near its rate on few VMs needs all of it.
     pub lend_reserve: f64,
     /// Most requests that wait for a token at once. Default 1,024.
     pub max_waiting: u32,
@@ -93,7 +96,7 @@
             smallest_ask: 0.2,
             demand_window: Duration::from_secs(1),
             demand_headroom: 1.1,
-            lend_reserve: 0.1,
+            lend_reserve: 1.0,
             max_waiting: 1024,
         }
     }
@@ -803,14 +806,15 @@
             return Err(LendRefusal::OwnDemand);
         }
         let demand = self.arrivals.per_second(now) * self.cfg.demand_headroom;
-        let kept = demand.max(self.target.rate() * self.cfg.lend_reserve);
-        let fraction = 1.0 - kept / at_hand.rate();
+        let fraction = 1.0 - demand / at_hand.rate();
         if fraction <= 0.0 {
             return Err(LendRefusal::OwnDemand);
         }
+        let spare = |whole: f64| (whole * fraction).min(whole - self.cfg.lend_reserve);
+        let part = Part::new(at_hand.rate() * fraction, spare(at_hand.burst()).max(0.0));
         Ok(Free {
-            part: at_hand.scaled(fraction),
-            tokens: self.bucket.tokens() * fraction,
+            part: part.unwrap_or_default(),
+            tokens: spare(self.bucket.tokens()).max(0.0),
         })
     }
 
--- a/crates/filbertgrade/src/process/command/dev/mod.rs
+++ b/crates/filbertgrade/src/process/command/dev/mod.rs
@@ -32,6 +32,11 @@
 /// Size of an uploaded scan or photograph, in bytes.
 const UPLOAD_BYTES: usize = 64 * 1024;
 
+/// Time for the buckets, which start empty, to fill. The files give each team
+/// a burst of one second of its rate, and refusals are judged against a full
+/// bucket at the start of the traffic.
+const WARM_UP: Duration = Duration::from_millis(1500);
+
 /// Part of the run after which one backend server is drained.
 const DRAIN_AFTER: f64 = 0.6;
 
@@ -67,6 +72,8 @@
         ready.as_secs_f64()
     ));
 
+    tokio::time::sleep(WARM_UP).await;
+
     let teams = team_loads(&deployment, load, seed);
     progress.say(&format!("sending traffic for {} s", duration.as_secs()));
     let running = tokio::spawn(run_load(&deployment, teams.clone(), duration, seed));
--- a/crates/filbertgrade/src/process/command/dev/report.rs
+++ b/crates/filbertgrade/src/process/command/dev/report.rs
@@ -5,7 +5,7 @@
 
 use filbertgrade_coord::names::RegionName;
 use filbertgrade_standins::backend::BackendRecords;
-use filbertgrade_standins::caller::LoadReport;
+use filbertgrade_standins::caller::{LoadReport, TeamReport};
 use indexmap::IndexMap;
 use serde::Serialize;
 
@@ -31,6 +31,7 @@
     refused_within_rate: u64,
     refused_over_rate: u64,
     refused: IndexMap<String, u64>,
+    teams: IndexMap<String, TeamFigures>,
     latency_ms: LatencyMs,
     added_latency_ms: AddedLatencyMs,
     worst_team: WorstTeam,
@@ -38,6 +39,16 @@
     drain_seconds: f64,
 }
 
+/// Figures of one team.
+#[derive(Debug, Serialize)]
+struct TeamFigures {
+    sent: u64,
+    served: u64,
+    refused_within_rate: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
 #[derive(Debug, Serialize)]
 struct LatencyMs {
     p50: f64,
@@ -106,6 +117,7 @@
             refused_within_rate: teams.clone().map(|team| team.refused_within_rate).sum(),
             refused_over_rate: teams.map(|team| team.refused_over_rate).sum(),
             refused,
+            teams: team_figures(load),
             latency_ms: LatencyMs {
                 p50: at(0.5),
                 p99: at(0.99),
@@ -179,6 +191,20 @@
     }
 }
 
+fn team_figures(load: &LoadReport) -> IndexMap<String, TeamFigures> {
+    let figures = |(name, team): (&String, &TeamReport)| {
+        let figures = TeamFigures {
+            sent: team.sent,
+            served: team.served,
+            refused_within_rate: team.refused_within_rate,
+            p50_ms: team.latency_ms(0.5),
+            p99_ms: team.latency_ms(0.99),
+        };
+        (name.clone(), figures)
+    };
+    load.teams.iter().map(figures).collect()
+}
+
 impl WorstTeam {
     /// Refusals over a team's rate are its own doing and do not count.
     fn of(load: &LoadReport) -> Self {
