Remove configuration parts that no root names

Every agent holds all objects under config/, and parts of former and losing applies stayed for good, so memory grew with each apply. An apply now removes the parts that it listed before its root took effect, at the listed revision. A part that another apply relies on has been written anew by then and stays.

A winner is no longer named from a read that lags behind the conflict.

--- a/crates/filbertgrade/src/process/command/apply.rs
+++ b/crates/filbertgrade/src/process/command/apply.rs
@@ -11,7 +11,7 @@
 use super::confirm::{self, Scope};
 use super::stored::{self, StoredRoot};
 use super::write::{Written, write};
-use crate::platform::{Changes, Condition, HttpPlatform, Object, Platform};
+use crate::platform::{Changes, Condition, HttpPlatform, Object, Platform, Revision};
 use crate::process::settings::CommandSettings;
 use crate::version::{
     AppliedVersion, CONFIG_ROOT, Config, ConfigRoot, KeyRecord, KeyState, RECENT_APPLIES, VmRecord,
@@ -56,14 +56,13 @@
 ) -> Result<(), CommandError> {
     let config = stored::read_files(files)?;
     let platform = HttpPlatform::new(settings.store, None);
-    let Some(root) = stored::read_root(&platform).await?.root else {
+    let Some((root, in_force)) = stored::read_in_force(&platform).await? else {
         println!("no configuration is in force; every key is new");
         for line in config.lines() {
             println!("+ {line}");
         }
         return Ok(());
     };
-    let in_force = stored::read_config(&platform, &root).await?;
     let changes = in_force.changes_to(&config);
     if changes.is_empty() {
         println!("no differences from version {}", root.version);
@@ -139,7 +138,11 @@
         }
         check_running(platform, root, config).await?;
     }
-    write_parts(platform, root.as_ref(), &parts).await?;
+    let former = match &root {
+        Some(_) => former_parts(platform, &digests).await,
+        None => Vec::new(),
+    };
+    write_parts(platform, root.as_ref(), condition, &parts).await?;
     let next = next_root(root.as_ref(), digests);
     let version = next.version;
     let value = encode(CONFIG_ROOT, &next)?;
@@ -148,15 +151,47 @@
         let value = object.and_then(|object| object.value).unwrap_or_default();
         stored::decode_root(&value).map(|root| root.version)
     };
-    match write(platform, CONFIG_ROOT, value, condition, own).await? {
-        Written::Answered(_) => Ok(Outcome::Accepted { version }),
-        Written::Found(object) => Ok(Outcome::Found {
+    let outcome = match write(platform, CONFIG_ROOT, value, condition, own).await? {
+        Written::Answered(_) => Outcome::Accepted { version },
+        Written::Found(object) => Outcome::Found {
             version,
             now: version_of(Some(object))?,
-        }),
-        Written::Lost(object) => Err(CommandError::Conflict {
-            winner: version_of(object)?,
-        }),
+        },
+        Written::Lost(object) => {
+            let winner = version_of(object)?;
+            return Err(CommandError::Conflict { winner });
+        }
+    };
+    remove_parts(platform, &former).await;
+    Ok(outcome)
+}
+
+/// Parts in the store that the next root does not name, with their revisions.
+/// Without an answer there are none, and the next apply removes them.
+async fn former_parts(platform: &dyn Platform, next: &[String]) -> Vec<(String, Revision)> {
+    let listed = platform.list(&[&stored::part_name("")]).await;
+    let objects = listed.map(|listed| listed.objects).unwrap_or_default();
+    let named: BTreeSet<String> = next.iter().map(|part| stored::part_name(part)).collect();
+    let former = objects.into_iter();
+    former
+        .filter(|object| !named.contains(&object.name))
+        .map(|object| (object.name, object.revision))
+        .collect()
+}
+
+/// Removes parts that were listed before the new root was written. Every agent
+/// holds all parts, so they must not pile up.
+///
+/// An apply that builds on the new root writes each part anew that the root
+/// does not name, so a part that it relies on is no longer at the revision
+/// listed. An apply that builds on an older root conflicts.
+async fn remove_parts(platform: &dyn Platform, former: &[(String, Revision)]) {
+    for (name, revision) in former {
+        match platform.delete(name, *revision).await {
+            Ok(_) => {}
+            Err(error) if error.is_conflict() => {}
+            Err(_) => return,
+        }
     }
 }
 
@@ -186,21 +221,30 @@
     applied.map(|applied| applied.version)
 }
 
+/// Writes the parts that `root` does not name, also those that exist already:
+/// another apply may be about to remove them, see [`remove_parts`].
 async fn write_parts(
     platform: &dyn Platform,
     root: Option<&ConfigRoot>,
+    condition: Condition,
     parts: &[(String, String)],
 ) -> Result<(), CommandError> {
+    let base = match condition {
+        Condition::At(revision) => revision,
+        Condition::Absent | Condition::Always => 0,
+    };
     for (digest, text) in parts {
         if root.is_some_and(|root| root.parts.contains(digest)) {
             continue;
         }
         let name = stored::part_name(digest);
         let value = Bytes::copy_from_slice(text.as_bytes());
-        // The name is the digest, so an object of that name has this content,
-        // whoever wrote it. A lost part makes nothing visible.
-        match write(platform, &name, value, Condition::Absent, |_| true).await {
+        // The name is the digest, so whoever wrote the object after the root,
+        // it has this content and is not removed.
+        let own = |object: &Object| object.revision > base;
+        match write(platform, &name, value, Condition::Always, own).await {
             Ok(_) => {}
+            // A part makes nothing visible.
             Err(CommandError::Unknown(error)) => return Err(CommandError::Store(error)),
             Err(error) => return Err(error),
         }
--- a/crates/filbertgrade/src/process/command/drain.rs
+++ b/crates/filbertgrade/src/process/command/drain.rs
@@ -126,8 +126,6 @@
 }
 
 async fn in_force(platform: &dyn Platform) -> Result<Option<Config>, CommandError> {
-    match stored::read_root(platform).await?.root {
-        Some(root) => Ok(Some(stored::read_config(platform, &root).await?)),
-        None => Ok(None),
-    }
+    let read = stored::read_in_force(platform).await?;
+    Ok(read.map(|(_, config)| config))
 }
--- a/crates/filbertgrade/src/process/command/key.rs
+++ b/crates/filbertgrade/src/process/command/key.rs
@@ -78,10 +78,9 @@
         Ok(name) => name,
         Err(error) => return refused(format!("team {team:?}: {error}")),
     };
-    let Some(root) = stored::read_root(platform).await?.root else {
+    let Some((root, config)) = stored::read_in_force(platform).await? else {
         return refused("no configuration is in force, so there is no team".to_owned());
     };
-    let config = stored::read_config(platform, &root).await?;
     if config.teams.contains_key(&name) {
         return Ok(());
     }
--- a/crates/filbertgrade/src/process/command/stored.rs
+++ b/crates/filbertgrade/src/process/command/stored.rs
@@ -77,6 +77,31 @@
     Config::parse(&text).map_err(|e| CommandError::malformed(CONFIG_ROOT, &e))
 }
 
+/// Reads the configuration in force with its root.
+///
+/// Parts go away when a newer root is written, so a configuration that cannot
+/// be read is read again from the root if that has changed.
+pub(super) async fn read_in_force(
+    platform: &dyn Platform,
+) -> Result<Option<(ConfigRoot, Config)>, CommandError> {
+    let mut read = read_root(platform).await?;
+    loop {
+        let Some(root) = read.root else {
+            return Ok(None);
+        };
+        match read_config(platform, &root).await {
+            Ok(config) => return Ok(Some((root, config))),
+            Err(error @ CommandError::Malformed { .. }) => {
+                read = read_root(platform).await?;
+                if read.root.as_ref().map(|root| root.version) == Some(root.version) {
+                    return Err(error);
+                }
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// The parts of a configuration's text with their digests.
 ///
 /// Each top-level table has parts of its own, so that a change in one leaves
--- a/crates/filbertgrade/src/process/command/write.rs
+++ b/crates/filbertgrade/src/process/command/write.rs
@@ -126,9 +126,13 @@
             Ok(None) => at_least > 0,
             Err(_) => true,
         };
-        if !lags || Instant::now() >= deadline {
+        if !lags {
             return read;
         }
+        if Instant::now() >= deadline {
+            let lagging = || PlatformError::bad_answer(name, &"the read lags behind the write");
+            return read.and_then(|_| Err(lagging()));
+        }
         tokio::time::sleep(RESOLVE_PAUSE).await;
     }
 }
--- a/crates/filbertgrade/tests/operators/apply.rs
+++ b/crates/filbertgrade/tests/operators/apply.rs
@@ -207,3 +207,69 @@
             .any(|l| l.starts_with("vm-3") && l.ends_with("no"))
     );
 }
+
+/// Guards against parts of former configurations that pile up in the memory
+/// of every agent, and against a part removed that another apply relies on.
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_that_no_root_names_are_removed() {
+    let fleet = Fleet::start(0).await;
+    fleet.platform.put("config/part/left-by-a-loser", "x");
+    let texts: Vec<File> = [4, 5, 6, 5]
+        .iter()
+        .map(|slots| {
+            File::new(
+                &fleet
+                    .config()
+                    .replace("slots = 4", &format!("slots = {slots}")),
+            )
+        })
+        .collect();
+    for text in &texts {
+        assert_eq!(run(&fleet, &["apply", text.path()]).await.code, 0);
+    }
+    let parts = |root: serde_json::Value| -> Vec<String> {
+        let parts = root["parts"].as_array().unwrap().iter();
+        let mut parts: Vec<String> = parts
+            .map(|part| format!("config/part/{}", part.as_str().unwrap()))
+            .collect();
+        parts.sort();
+        parts
+    };
+    assert_eq!(fleet.platform.names("config/part/"), parts(root(&fleet)));
+
+    // Applies that alternate while others clean up never lose a part.
+    for _ in 0..5 {
+        let runs = texts
+            .iter()
+            .map(async |file| run(&fleet, &["apply", file.path()]).await);
+        futures::future::join_all(runs).await;
+        let held = fleet.platform.names("config/part/");
+        let named = parts(root(&fleet));
+        assert!(named.iter().all(|part| held.contains(part)), "{held:?}");
+    }
+}
+
+/// Guards against a winner that is read from a replica that lags.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_conflict_names_the_winner_although_reads_lag() {
+    let fleet = Fleet::start(0).await;
+    fleet.apply().await;
+    let file = |slots: u8| {
+        let slots = format!("slots = {slots}");
+        File::new(&fleet.config().replace("slots = 4", &slots))
+    };
+    let (second, third) = (file(5), file(6));
+    assert_eq!(run(&fleet, &["apply", second.path()]).await.code, 0);
+    // Reads show version 1; they catch up while the loser looks for the winner.
+    let (root_revision, _) = fleet.platform.get("config/root").unwrap();
+    let behind = fleet.platform.revision() - root_revision + 1;
+    fleet.platform.set_stale_reads(behind);
+    let args = ["apply", third.path()];
+    let catch_up = async {
+        tokio::time::sleep(std::time::Duration::from_millis(1500)).await;
+        fleet.platform.set_stale_reads(0);
+    };
+    let (ran, ()) = tokio::join!(run(&fleet, &args), catch_up);
+    assert_eq!(ran.code, 4, "{ran:?}");
+    assert!(ran.err.contains("version 2 was accepted first"), "{ran:?}");
+}
--- a/crates/filbertgrade/tests/operators/operator.rs
+++ b/crates/filbertgrade/tests/operators/operator.rs
@@ -61,6 +61,19 @@
     assert_eq!(get(&fleet, 0, ENTRY, "/health").await.0, 200);
 }
 
+/// Guards against work that is sent to an entry which has begun to stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_entry_is_not_ready() {
+    let fleet = Fleet::start(1).await;
+    fleet.apply().await;
+    wait_for(&fleet, ENTRY, "/ready", 200).await;
+    let id = fleet.vms[0].entry.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    assert!(sent.success());
+    let cause = wait_for(&fleet, ENTRY, "/ready", 503).await;
+    assert_eq!(cause, "the process is leaving\n");
+}
+
 /// Guards against metrics and dumps that are missing, and against digests or
 /// secrets in them.
 #[tokio::test(flavor = "multi_thread")]
