Check that ports differ and that the address is the VM's own

Two equal ports or a zero port let one process of a VM start and the other fail later, and an address for all interfaces became the source address of every connection. Both are faults of the settings now.

--- a/crates/filbertgrade/src/process/settings.rs
+++ b/crates/filbertgrade/src/process/settings.rs
@@ -169,6 +169,11 @@
                 ports.agent_operator,
             ),
         };
+        reader.check_ports(ports);
+        if address.is_some_and(|address: IpAddr| address.is_unspecified()) {
+            let fault = "--address: the VM's own address is needed, not one for all interfaces";
+            reader.faults.push(fault.to_owned());
+        }
         match (vm, address, region, failure_domain, store) {
             (Some(vm), Some(address), Some(region), Some(failure_domain), Some(store))
                 if reader.faults.is_empty() =>
@@ -262,6 +267,26 @@
         }
     }
 
+    /// Each port must be free for its one listener.
+    fn check_ports(&mut self, ports: Ports) {
+        let ports = [
+            ("caller-port", ports.caller),
+            ("entry-peer-port", ports.entry_peer),
+            ("agent-peer-port", ports.agent_peer),
+            ("entry-operator-port", ports.entry_operator),
+            ("agent-operator-port", ports.agent_operator),
+        ];
+        for (n, (flag, port)) in ports.iter().enumerate() {
+            if *port == 0 {
+                self.faults.push(format!("--{flag}: 0 is not a port"));
+            }
+            if let Some((other, _)) = ports[..n].iter().find(|(_, p)| p == port && *p != 0) {
+                let fault = format!("--{flag}: {port} is also the port of --{other}");
+                self.faults.push(fault);
+            }
+        }
+    }
+
     fn present(&mut self, flag: &str, given: Option<String>) -> Option<String> {
         let text = self.text(flag, given);
         if text.is_none() {
--- a/crates/filbertgrade/tests/operators/drain.rs
+++ b/crates/filbertgrade/tests/operators/drain.rs
@@ -50,6 +50,20 @@
     assert_eq!(names, expected);
 }
 
+/// Guards against a drain that is reported as in force without a VM, which may
+/// go on sending requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_names_the_vms_that_do_not_confirm() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.apply().await;
+    let _ = fleet.vms[1].agent.kill();
+    let args = ["drain", "--wait-limit-ms", "1000", "vm", "vm-1"];
+    let ran = run(&fleet, &args).await;
+    assert_eq!(ran.code, 8, "{ran:?}");
+    assert!(ran.err.contains("waiting for vm-2\n"), "{ran:?}");
+    assert_eq!(fleet.platform.names("drains/"), ["drains/vm/vm-1"]);
+}
+
 /// Guards against a drained region that still gets look-ups or requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_region_gets_no_new_work() {
--- a/crates/filbertgrade/tests/operators/main.rs
+++ b/crates/filbertgrade/tests/operators/main.rs
@@ -14,6 +14,7 @@
 mod key;
 mod operator;
 mod platform;
+mod settings;
 
 use std::io::Write;
 
