--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -4,6 +4,7 @@
 
 use filbertgrade::process::command::CommandError;
 use filbertgrade::process::command::flags::{Filbertgrade, FilbertgradeCmd};
+use filbertgrade::process::signals::StopSignals;
 use filbertgrade::process::{agent, command, entry};
 
 fn main() -> ExitCode {
@@ -34,7 +35,11 @@
         .map_err(|error| anyhow::anyhow!("cannot start the runtime: {error}"))?;
     runtime.block_on(async {
         match flags.subcommand {
-            FilbertgradeCmd::Entry(flags) => entry::run(flags.settings()?).await?,
+            FilbertgradeCmd::Entry(flags) => {
+                let signals = StopSignals::new()
+                    .map_err(|error| anyhow::anyhow!("cannot receive signals: {error}"))?;
+                entry::run(flags.settings()?, signals.received()).await?;
+            }
             FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
             FilbertgradeCmd::Dev(flags) => command::dev(&flags).await?,
             command => command::run(command).await?,
--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -381,7 +381,7 @@
             }
         }),
         tokio::spawn(async move {
-            if let Err(error) = entry::run(settings).await {
+            if let Err(error) = entry::run(settings, std::future::pending()).await {
                 log::error!("event=entry_failed error={}", logfmt::value(&error));
             }
         }),
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -5,4 +5,5 @@
 pub mod entry;
 pub(crate) mod operator;
 pub mod settings;
+pub mod signals;
 pub(crate) mod tasks;
