Record metrics before the first task counts

The recorder was installed by the task that serves the operator port, so the first calls to the store could be lost; a run on a busy machine showed metrics without them. The test asked for a watch, which an agent that learns everything from its first list has not made yet; it asks for that list, which must be counted in every order of events.

--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -166,6 +166,7 @@
     let operators = operator::listen(address)
         .await
         .map_err(|source| AgentError::Listen { address, source })?;
+    operator::record_metrics();
     tokio::spawn(dump::operator_port(&agent).serve(operators));
     tokio::spawn(store::follow_store(Arc::clone(&agent)));
     tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -28,6 +28,7 @@
 use self::slots::Slots;
 use crate::connection::{Pool, serve_frames};
 use crate::platform::HttpPlatform;
+use crate::process::operator;
 use crate::process::settings::NodeSettings;
 use crate::process::tasks::Tasks;
 use crate::request::{Guard, RetryBudget};
@@ -142,6 +143,7 @@
     .await?;
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
+    operator::record_metrics();
     tokio::spawn(dump::operator_port(&entry).serve(operators));
     tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
     tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
--- a/crates/filbertgrade/src/process/operator.rs
+++ b/crates/filbertgrade/src/process/operator.rs
@@ -85,7 +85,6 @@
 
     /// Answers operators until the process is stopped.
     pub(crate) async fn serve(self, listener: TcpListener) {
-        record_metrics();
         let port = Arc::new(self);
         let connections = Arc::new(Semaphore::new(CONNECTIONS));
         loop {
@@ -139,7 +138,8 @@
     TcpListener::bind(address).await
 }
 
-/// Records metrics from here on. Another recorder that was installed first
+/// Records metrics from here on; what was counted before is lost, so this
+/// comes before any task that counts. Must be called within a runtime. Another recorder that was installed first
 /// stays, and `/metrics` then answers 503.
 pub(crate) fn record_metrics() {
     METRICS.get_or_init(|| {
--- a/crates/filbertgrade/tests/operators/operator.rs
+++ b/crates/filbertgrade/tests/operators/operator.rs
@@ -116,7 +116,7 @@
     assert_eq!(agent["vms"].as_array().unwrap().len(), 2);
     assert_eq!(agent["process"]["entry_config_version"], 1);
     for line in [
-        "platform_calls_total{kind=\"watch\"}",
+        "platform_calls_total{kind=\"list\"}",
         "agent_revision{vm=\"vm-1\"}",
     ] {
         assert!(metrics.contains(line), "{metrics}");
