--- a/crates/filbertgrade/tests/operators/main.rs
+++ b/crates/filbertgrade/tests/operators/main.rs
@@ -9,11 +9,16 @@
 mod apply;
 mod config;
 mod drain;
+#[expect(
+    dead_code,
+    reason = "other test targets use the parts of the harness with proxies"
+)]
 #[path = "../it/fleet.rs"]
 mod fleet;
 mod key;
 mod operator;
 mod platform;
+mod settings;
 
 use std::io::Write;
 
