--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -21,14 +21,6 @@
 /// Longest wait for a token. A longer queue would only delay the refusal.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
-/// Time after which a queue that was never empty counts as standing: loans
-/// have had time to move, so the team sends more than its rate.
-const STANDING_AFTER: Duration = Duration::from_secs(1);
-
-/// Longest wait in a standing queue. Waiting longer would serve no more
-/// requests and make each of them late.
-const STANDING_WAIT: Duration = Duration::from_millis(100);
-
 /// Time between two rounds of a ledger that has demand or loans.
 const ROUND: Duration = Duration::from_millis(50);
 
@@ -66,8 +58,6 @@
     /// Invariant: as many as the ledger counts as waiting, in order of arrival.
     queue: VecDeque<Waiter>,
     next_waiter: u64,
-    /// Since when the queue has not been empty.
-    queued_since: Option<Instant>,
     /// Counts asks, so that each goes to the next peers in turn.
     asks: usize,
 }
@@ -75,12 +65,9 @@
 #[derive(Debug)]
 struct Waiter {
     number: u64,
-    tx: oneshot::Sender<Verdict>,
+    tx: oneshot::Sender<Result<(), AdmissionRefusal>>,
 }
 
-/// What became of a request that waited.
-type Verdict = Result<(), AdmissionRefusal>;
-
 impl Admission {
     pub(crate) fn new(vm: VmName, links: Arc<PeerLinks>) -> Self {
         Self {
@@ -130,7 +117,7 @@
             .existing(team)
             .ok_or(Refusal::not_run(Cause::KeyRefused))?;
         let now = Instant::now();
-        let (number, rx, wait) = {
+        let (number, rx) = {
             let mut state = share.state();
             match state.ledger.admit(now) {
                 Decision::Admitted => {
@@ -139,7 +126,7 @@
                     return Ok(());
                 }
                 Decision::Refused(refusal) => return Err(refusal_of(refusal)),
-                Decision::Wait { .. } => state.enqueue(now),
+                Decision::Wait { .. } => state.enqueue(),
             }
         };
         let guard = WaitGuard {
@@ -147,7 +134,7 @@
             number,
         };
         share.wake.notify_one();
-        let until = deadline.min(now + wait);
+        let until = deadline.min(now + LONGEST_WAIT);
         let decided = tokio::time::timeout_at(until.into(), rx).await;
         drop(guard);
         match decided {
@@ -241,7 +228,6 @@
                 ledger,
                 queue: VecDeque::new(),
                 next_waiter: 0,
-                queued_since: None,
                 asks: 0,
             }),
             wake: Notify::new(),
@@ -266,24 +252,12 @@
 }
 
 impl ShareState {
-    fn enqueue(&mut self, now: Instant) -> (u64, oneshot::Receiver<Verdict>, Duration) {
-        let since = *self.queued_since.get_or_insert(now);
-        let wait = if now.saturating_duration_since(since) > STANDING_AFTER {
-            STANDING_WAIT
-        } else {
-            LONGEST_WAIT
-        };
+    fn enqueue(&mut self) -> (u64, oneshot::Receiver<Result<(), AdmissionRefusal>>) {
         let (tx, rx) = oneshot::channel();
         let number = self.next_waiter;
         self.next_waiter += 1;
         self.queue.push_back(Waiter { number, tx });
-        (number, rx, wait)
-    }
-
-    fn note_empty(&mut self) {
-        if self.queue.is_empty() {
-            self.queued_since = None;
-        }
+        (number, rx)
     }
 
     /// Admits waiting requests as far as tokens go, and returns when the next
@@ -300,7 +274,6 @@
                 let _ = waiter.tx.send(verdict);
             }
         }
-        self.note_empty();
         None
     }
 
@@ -323,7 +296,6 @@
         if let Some(position) = position {
             state.queue.remove(position);
             state.ledger.abandon(Instant::now());
-            state.note_empty();
         }
     }
 }
