--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -21,6 +21,9 @@
 /// Longest wait for a token. A longer queue would only delay the refusal.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which a queue that was never empty counts as standing.
+const STANDING_AFTER: Duration = Duration::from_secs(1);
+
 /// Time between two rounds of a ledger that has demand or loans.
 const ROUND: Duration = Duration::from_millis(50);
 
@@ -57,7 +60,9 @@
     ledger: ShareLedger,
     /// Invariant: as many as the ledger counts as waiting, in order of arrival.
     queue: VecDeque<Waiter>,
-    next_waiter: u64,
+    next_number: u64,
+    /// Since when the queue has not been empty.
+    queued_since: Option<Instant>,
     /// Counts asks, so that each goes to the next peers in turn.
     asks: usize,
 }
@@ -126,7 +131,7 @@
                     return Ok(());
                 }
                 Decision::Refused(refusal) => return Err(refusal_of(refusal)),
-                Decision::Wait { .. } => state.enqueue(),
+                Decision::Wait { .. } => state.enqueue(now),
             }
         };
         let guard = WaitGuard {
@@ -227,7 +232,8 @@
             state: Mutex::new(ShareState {
                 ledger,
                 queue: VecDeque::new(),
-                next_waiter: 0,
+                next_number: 0,
+                queued_since: None,
                 asks: 0,
             }),
             wake: Notify::new(),
@@ -252,10 +258,11 @@
 }
 
 impl ShareState {
-    fn enqueue(&mut self) -> (u64, oneshot::Receiver<Result<(), AdmissionRefusal>>) {
+    fn enqueue(&mut self, now: Instant) -> (u64, oneshot::Receiver<Result<(), AdmissionRefusal>>) {
+        self.queued_since.get_or_insert(now);
         let (tx, rx) = oneshot::channel();
-        let number = self.next_waiter;
-        self.next_waiter += 1;
+        let number = self.next_number;
+        self.next_number += 1;
         self.queue.push_back(Waiter { number, tx });
         (number, rx)
     }
@@ -269,14 +276,35 @@
                 Decision::Refused(refusal) => Err(refusal),
                 Decision::Wait { retry_at } => return retry_at,
             };
-            if let Some(waiter) = self.queue.pop_front() {
+            if let Some(waiter) = self.next_waiter(now) {
                 // A request that gave up at this very moment loses its token.
                 let _ = waiter.tx.send(verdict);
             }
         }
+        self.note_empty();
         None
     }
 
+    /// The newest request of a standing queue, else the oldest.
+    ///
+    /// A team over its rate keeps its queue full. In order of arrival each of
+    /// its requests would wait as long as requests may; the newest first, most
+    /// of those that get a token are on time, and as many are refused.
+    fn next_waiter(&mut self, now: Instant) -> Option<Waiter> {
+        let since = self.queued_since.unwrap_or(now);
+        if now.saturating_duration_since(since) > STANDING_AFTER {
+            self.queue.pop_back()
+        } else {
+            self.queue.pop_front()
+        }
+    }
+
+    fn note_empty(&mut self) {
+        if self.queue.is_empty() {
+            self.queued_since = None;
+        }
+    }
+
     fn is_active(&mut self, now: Instant) -> bool {
         let snapshot = self.ledger.snapshot(now);
         !snapshot.loans_in.is_empty() || snapshot.waiting > 0 || snapshot.demand > 0.1
@@ -296,6 +324,7 @@
         if let Some(position) = position {
             state.queue.remove(position);
             state.ledger.abandon(Instant::now());
+            state.note_empty();
         }
     }
 }
