--- a/crates/filbertgrade-coord/src/ledger.rs
+++ b/crates/filbertgrade-coord/src/ledger.rs
@@ -437,6 +437,18 @@
         self.wait_for(1, now)
     }
 
+    /// Requests that arrive for each one that the rate at hand admits.
+    ///
+    /// Above 1, requests arrive faster than they can be admitted.
+    pub fn overload(&mut self, now: Instant) -> f64 {
+        self.advance(now);
+        let rate = self.bucket.part().rate();
+        if rate <= 0.0 {
+            return f64::INFINITY;
+        }
+        self.arrivals.per_second(now) / rate
+    }
+
     /// Notes that a waiting request gave up.
     pub fn abandon(&mut self, now: Instant) {
         self.advance(now);
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -24,6 +24,10 @@
 /// Time after which a queue that was never empty counts as standing.
 const STANDING_AFTER: Duration = Duration::from_secs(1);
 
+/// Arrivals for each admission above which a standing queue is the team's own
+/// doing. Loans that are still moving leave a team within its rate below it.
+const OVERLOADED: f64 = 1.5;
+
 /// Time between two rounds of a ledger that has demand or loans.
 const ROUND: Duration = Duration::from_millis(50);
 
@@ -285,14 +289,16 @@
         None
     }
 
-    /// The newest request of a standing queue, else the oldest.
+    /// The newest request of a standing queue of an overloaded team, else the
+    /// oldest.
     ///
     /// A team over its rate keeps its queue full. In order of arrival each of
     /// its requests would wait as long as requests may; the newest first, most
-    /// of those that get a token are on time, and as many are refused.
+    /// of those that get a token are on time.
     fn next_waiter(&mut self, now: Instant) -> Option<Waiter> {
         let since = self.queued_since.unwrap_or(now);
-        if now.saturating_duration_since(since) > STANDING_AFTER {
+        let is_standing = now.saturating_duration_since(since) > STANDING_AFTER;
+        if is_standing && self.ledger.overload(now) > OVERLOADED {
             self.queue.pop_back()
         } else {
             self.queue.pop_front()
