Keep callers' connections through a stop until they are quiet

graceful_stop::stop_under_load_cuts_no_request failed in 2 of 6 runs: a new HTTP/1.1 connection was closed under its first request, because hyper closes a connection without a request at once when it is told to stop. A connection is now closed only after 1 s without a byte, and what the kernel accepted before the end of the look-up time to live is accepted.

--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -31,6 +31,15 @@
 /// for it. It is also the longest time between two requests on a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time beyond the look-up time to live in which connections are accepted that
+/// were made before its end.
+const ACCEPT_REST: Duration = Duration::from_millis(50);
+
+/// Time without a byte after which a stopping VM closes an HTTP/1.1
+/// connection. A shorter time could close it under a request that is on its
+/// way.
+const QUIET_TIME: Duration = Duration::from_secs(1);
+
 /// Pause before looking again at a connection that sent only a part of the
 /// HTTP/2 preface.
 const PREFACE_PAUSE: Duration = Duration::from_millis(10);
@@ -69,7 +78,7 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = &mut stop => return,
+            () = &mut stop => break,
         };
         match accepted {
             Ok((stream, peer)) => accept(entry, stream, peer, close.clone()),
@@ -79,6 +88,16 @@
             }
         }
     }
+    let rest = accept_rest(entry, &listener, close);
+    let _ = tokio::time::timeout(ACCEPT_REST, rest).await;
+}
+
+/// Accepts what the kernel accepted already. It would be reset with the
+/// listener.
+async fn accept_rest(entry: &Arc<Entry>, listener: &TcpListener, close: &watch::Receiver<bool>) {
+    while let Ok((stream, peer)) = listener.accept().await {
+        accept(entry, stream, peer, close.clone());
+    }
 }
 
 fn accept(entry: &Arc<Entry>, stream: TcpStream, peer: SocketAddr, close: watch::Receiver<bool>) {
@@ -146,17 +165,23 @@
     mut close: watch::Receiver<bool>,
 ) {
     let handler = service_fn(move |req| answer(Arc::clone(&entry), peer, req));
+    let io = CallerIo::new(stream);
+    let activity = io.activity();
     let mut server = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD)
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(CallerIo::new(stream)), handler)
+            .serve_connection(TokioIo::new(io), handler)
     );
+    let quiet = async {
+        let _ = close.wait_for(|close| *close).await;
+        activity.quiet_for(QUIET_TIME).await;
+    };
     tokio::select! {
         _ = &mut server => return,
-        _ = close.wait_for(|close| *close) => server.as_mut().graceful_shutdown(),
+        () = quiet => server.as_mut().graceful_shutdown(),
     }
     let _ = server.await;
 }
