--- a/crates/filbertgrade/tests/path/http2.rs
+++ b/crates/filbertgrade/tests/path/http2.rs
@@ -92,3 +92,32 @@
         assert!(body == expected_answer(&id, b"", 500), "{id}");
     }
 }
+
+/// Guards against headers without a bound, and against one bad stream that
+/// ends the others of its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_headers_end_their_stream_only() {
+    let (fleet, secret) = ready_fleet(1).await;
+    let stream = tokio::net::TcpStream::connect(fleet.vms[0].callers())
+        .await
+        .unwrap();
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+            .await
+            .unwrap();
+    tokio::spawn(connection);
+    let mut request = |id: &str, bytes: usize| {
+        let req = Request::get("http://chart/chart/x")
+            .header("x-request-id", id)
+            .header("x-big", "a".repeat(bytes))
+            .header("authorization", format!("Bearer {secret}"))
+            .body(Full::<Bytes>::default())
+            .unwrap();
+        sender.send_request(req)
+    };
+    let other = request("other", 10);
+    let big = request("big", 80_000).await;
+    assert!(big.is_err() || big.is_ok_and(|answer| answer.status() == 431));
+    assert_eq!(other.await.unwrap().status(), 200);
+    assert!(fleet.backends.iter().all(|b| b.ran("big") == 0));
+}
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -8,6 +8,7 @@
 #[path = "../it/fleet.rs"]
 mod fleet;
 
+mod bad_answers;
 mod bad_input;
 mod decisions;
 mod graceful_stop;
