--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -2,6 +2,7 @@
 //! feeds the entry of its VM.
 
 mod allocator;
+mod dump;
 mod peers;
 mod pull;
 mod store;
@@ -21,8 +22,9 @@
 
 use crate::connection::serve_frames;
 use crate::platform::{HttpPlatform, Platform, Revision};
+use crate::process::operator;
 use crate::process::settings::NodeSettings;
-use crate::version::VmRecord;
+use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::Report;
 
 /// Longest wait before the entry's request for state is answered.
@@ -55,10 +57,17 @@
     pub(crate) settings: NodeSettings,
     pub(crate) platform: Arc<dyn Platform>,
     state: Mutex<State>,
+    /// Deltas to peers and to the entry that take more than one page.
+    pub(crate) outgoing: Mutex<OutgoingDeltas>,
+    /// Held while a delta of more than one page comes in, so that the same
+    /// objects do not come from several peers at once.
+    pub(crate) transfer: tokio::sync::Mutex<()>,
     /// Revision held; tasks wait for it to grow.
     pub(crate) revision: watch::Sender<Revision>,
     /// Last report of the entry.
     pub(crate) report: Mutex<Option<Report>>,
+    /// When the entry reported last.
+    pub(crate) reported_at: Mutex<Option<Instant>>,
 }
 
 /// What is known of the store and of the fleet.
@@ -82,8 +91,11 @@
             settings,
             platform,
             state: Mutex::new(state),
+            outgoing: Mutex::default(),
+            transfer: tokio::sync::Mutex::default(),
             revision: watch::Sender::new(0),
             report: Mutex::new(None),
+            reported_at: Mutex::new(None),
         }
     }
 
@@ -157,6 +169,11 @@
     log::info!("event=agent_started vm={} address={address}", settings.vm);
     let platform = Arc::new(HttpPlatform::new(settings.store, Some(settings.address)));
     let agent = Arc::new(Agent::new(settings, platform));
+    let address = SocketAddr::new(agent.settings.address, agent.settings.ports.agent_operator);
+    let operators = operator::listen(address)
+        .await
+        .map_err(|source| AgentError::Listen { address, source })?;
+    tokio::spawn(dump::operator_port(&agent).serve(operators));
     tokio::spawn(store::follow_store(Arc::clone(&agent)));
     tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
     tokio::spawn(allocator::run(Arc::clone(&agent)));
--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -1,14 +1,21 @@
 //! Answers peer agents and the entry of the own VM.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::freshness::RegionAges;
 
 use super::{Agent, FEED_WAIT};
-use crate::version::delta_for;
+use crate::version::OutgoingDeltas;
 use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
 
+/// The entry reports after every feed, at least every [`FEED_WAIT`]. Without a
+/// report for this time it is not running, and what it held counts for nothing.
+const ENTRY_SILENT_AFTER: Duration = Duration::from_secs(2);
+
+/// Receiver of deltas to the entry. It is no name of a VM.
+const OWN_ENTRY: &str = "";
+
 pub(crate) async fn answer(agent: Arc<Agent>, body: Body) -> Option<Body> {
     match body {
         Body::Hello(hello) => Some(Body::Feed(feed(&agent, &hello).await)),
@@ -27,26 +34,38 @@
     let newer = revision.wait_for(|held| *held > hello.revision);
     let _ = tokio::time::timeout(FEED_WAIT, newer).await;
     let state = agent.state();
-    let valid = state.valid_for(Instant::now());
+    let now = Instant::now();
+    let valid = state.valid_for(now);
+    let mut outgoing = lock(&agent.outgoing);
     Feed {
-        delta: delta_for(&state.objects, hello.revision),
+        delta: outgoing.page(&state.objects, OWN_ENTRY, hello.revision, hello.resume, now),
         valid_ms: valid.as_millis().try_into().unwrap_or(u32::MAX),
+        revision: state.objects.revision(),
     }
 }
 
 fn note_report(agent: &Agent, report: Report) {
     let mut last = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
     *last = Some(report);
+    *lock(&agent.reported_at) = Some(Instant::now());
 }
 
 fn pull_reply(agent: &Agent, pull: &Pull) -> PullReply {
     let state = agent.state();
+    let now = Instant::now();
     let held = state.objects.revision();
+    let delta = if pull.one_page_only {
+        OutgoingDeltas::default()
+            .page(&state.objects, &pull.vm, pull.revision, None, now)
+            .filter(|page| page.objects.len() as u64 == page.total)
+    } else {
+        lock(&agent.outgoing).page(&state.objects, &pull.vm, pull.revision, pull.resume, now)
+    };
     PullReply {
-        delta: delta_for(&state.objects, pull.revision),
+        delta,
         regions: state
             .freshness
-            .ages(Instant::now(), held)
+            .ages(now, held)
             .into_iter()
             .map(RegionEvidence::from)
             .collect(),
@@ -55,14 +74,20 @@
 }
 
 fn status(agent: &Agent) -> StatusReply {
+    let age = lock(&agent.reported_at).map(|at| at.elapsed());
+    let connected = age.is_some_and(|age| age <= ENTRY_SILENT_AFTER);
     let report = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
     StatusReply {
         vm: agent.settings.vm.to_string(),
         agent_revision: *agent.revision.borrow(),
-        entry: report.clone(),
+        entry: report.clone().filter(|_| connected),
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl From<RegionAges> for RegionEvidence {
     fn from(ages: RegionAges) -> Self {
         let millis = |age: Duration| age.as_millis().try_into().unwrap_or(u32::MAX);
--- a/crates/filbertgrade/src/process/command/dev/mod.rs
+++ b/crates/filbertgrade/src/process/command/dev/mod.rs
@@ -181,7 +181,11 @@
 }
 
 fn mix(config: &Config) -> Vec<Kind> {
-    let services: Vec<&str> = config.services.keys().map(|name| name.as_str()).collect();
+    let services: Vec<&str> = config
+        .services
+        .keys()
+        .map(crate::version::ServiceName::as_str)
+        .collect();
     let at = |index: usize| services[index.min(services.len() - 1)];
     vec![
         Kind::chart(at(0)).weight(70),
--- a/crates/filbertgrade/src/process/entry/carry.rs
+++ b/crates/filbertgrade/src/process/entry/carry.rs
@@ -14,8 +14,9 @@
 
 use super::Entry;
 use super::answer::{AnswerStream, Body};
-use super::slots::{SlotAsk, SlotGrant};
+use super::slots::{EndpointFault, SlotAsk, SlotGrant};
 use crate::connection::{Busy, Connection, Need, PoolError};
+use crate::logfmt;
 use crate::request::{
     self, Attempt, AttemptState, Cause, Claim, DEADLINE_HEADER, Evidence, Failure, NextStep,
     Refusal, SHORTEST_USEFUL, Situation, Upload, UploadFault,
@@ -320,11 +321,15 @@
         deadline: call.deadline,
     };
     let attempt = Attempt::begin();
-    let mut connection = entry
-        .pool
-        .begin(&need)
-        .await
-        .map_err(|error| not_connected(&error))?;
+    let mut connection = match entry.pool.begin(&need).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            if matches!(error, PoolError::Connect { .. }) {
+                slot.faulted(EndpointFault::Unreachable);
+            }
+            return Err(not_connected(&error));
+        }
+    };
     let (body, body_done) = call.upload.body();
     let Some(req) = request_for(call, endpoint, body) else {
         return Err(not_sent(Failure::DeadlinePassed));
@@ -356,7 +361,10 @@
         Err(_) => return Err(not_sent(Failure::ConnectionLost { reused: true })),
     };
     if let Some(failure) = explicit_refusal(&answer) {
-        slot.refused();
+        slot.faulted(match failure {
+            Failure::Draining => EndpointFault::Draining,
+            _ => EndpointFault::Shed,
+        });
         if answer.body().is_end_stream() && body_done.load(Ordering::Acquire) {
             entry.pool.put_back(connection.finish(Instant::now()));
         }
@@ -439,7 +447,7 @@
 fn not_connected(error: &PoolError) -> Failed {
     match error {
         PoolError::Connect { .. } => {
-            log::debug!("event=backend_unreachable error=\"{error}\"");
+            log::debug!("event=backend_unreachable error={}", logfmt::value(&error));
             not_sent(Failure::NoConnection)
         }
         PoolError::Full(_) => not_sent(Failure::DeadlinePassed),
--- a/crates/filbertgrade/src/process/entry/lookup.rs
+++ b/crates/filbertgrade/src/process/entry/lookup.rs
@@ -39,8 +39,7 @@
         let mut of_region: Vec<&VmRecord> = view
             .vms
             .values()
-            .filter(|vm| vm.region == region && vm.is_live())
-            .filter(|vm| !view.drained_vms.contains(vm.name.as_str()))
+            .filter(|vm| vm.region == region && view.takes_work(vm))
             .filter(|vm| Some(&vm.name) != leaving)
             .collect();
         if !of_region.is_empty() {
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod caller_io;
 mod carry;
+mod dump;
 mod feed;
 mod links;
 mod lookup;
@@ -134,8 +135,14 @@
     let listener = listen(address).await?;
     let peer_address = SocketAddr::new(settings.address, settings.ports.entry_peer);
     let peer_listener = listen(peer_address).await?;
+    let operators = listen(SocketAddr::new(
+        settings.address,
+        settings.ports.entry_operator,
+    ))
+    .await?;
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
+    tokio::spawn(dump::operator_port(&entry).serve(operators));
     tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
     tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
     tokio::spawn(close_expired(Arc::clone(&entry)));
@@ -146,6 +153,13 @@
     Ok(())
 }
 
+async fn close_expired(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        entry.pool.close_expired(Instant::now());
+    }
+}
+
 async fn serve_peers(entry: Arc<Entry>, listener: TcpListener) {
     serve_frames(listener, move |_peer, body| {
         peers::answer(Arc::clone(&entry), body)
@@ -158,10 +172,3 @@
         .await
         .map_err(|source| EntryError::Listen { address, source })
 }
-
-async fn close_expired(entry: Arc<Entry>) {
-    loop {
-        tokio::time::sleep(EXPIRY_INTERVAL).await;
-        entry.pool.close_expired(Instant::now());
-    }
-}
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -14,11 +14,17 @@
 
 use super::shares::{self, SHARE_TABLE};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
+use crate::logfmt;
 use crate::platform::Revision;
 
 /// Name of the object that makes a configuration visible.
 pub const CONFIG_ROOT: &str = "config/root";
 
+/// Applies that a root names, so that an operator whose answer was lost learns
+/// the outcome although others applied since. At one apply every second, an
+/// id stays longer than the 10 s in which an outcome is looked for.
+pub const RECENT_APPLIES: usize = 16;
+
 /// The root of a configuration: the parts that make up its text.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigRoot {
@@ -28,6 +34,19 @@
     pub apply_id: String,
     /// SHA-256 digests of the parts, in order.
     pub parts: Vec<String>,
+    /// The last applies, this one included, oldest first; at most
+    /// [`RECENT_APPLIES`].
+    #[serde(default)]
+    pub recent: Vec<AppliedVersion>,
+}
+
+/// An accepted run of `apply`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AppliedVersion {
+    /// Version that it wrote.
+    pub version: u64,
+    /// Its id.
+    pub apply_id: String,
 }
 
 /// Everything that requests are decided on, as of one revision.
@@ -118,10 +137,12 @@
         }
     }
 
-    /// A VM that stays and is not drained.
+    /// A VM that stays and is not drained, nor its region.
     #[must_use]
     pub fn takes_work(&self, vm: &VmRecord) -> bool {
-        vm.is_live() && !self.drained_vms.contains(vm.name.as_str())
+        vm.is_live()
+            && !self.drained_vms.contains(vm.name.as_str())
+            && !self.drained_regions.contains(vm.region.as_str())
     }
 
     /// Endpoints of a service in a region.
@@ -141,7 +162,8 @@
                     .map(move |(_, address)| Endpoint {
                         address,
                         slots: service.slots,
-                        drained: self.is_drained(address),
+                        drained: self.drained_regions.contains(region.as_str())
+                            || self.is_drained(address),
                     })
             })
     }
@@ -207,8 +229,9 @@
         Ok(config) => Some((root.version, config)),
         Err(error) => {
             log::error!(
-                "event=config_malformed version={} error=\"{error}\"",
-                root.version
+                "event=config_malformed version={} error={}",
+                root.version,
+                logfmt::value(&error)
             );
             None
         }
