--- a/crates/filbertgrade/tests/operators/main.rs
+++ b/crates/filbertgrade/tests/operators/main.rs
@@ -10,6 +10,7 @@
 mod config;
 mod drain;
 #[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 mod key;
 mod operator;
