--- a/crates/filbertgrade/tests/operators/main.rs
+++ b/crates/filbertgrade/tests/operators/main.rs
@@ -14,7 +14,6 @@
     reason = "other test targets use the parts of the harness with proxies"
 )]
 #[path = "../it/fleet.rs"]
-#[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 mod key;
 mod operator;
