--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -11,6 +11,7 @@
 
 use super::{Agent, lock, member};
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::version::{IncomingDelta, VmRecord, apply_delta};
 use crate::wire::{Body, Delta, Pull, PullReply};
 
@@ -88,7 +89,11 @@
                 return;
             }
             Err(error) => {
-                log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name);
+                log::debug!(
+                    "event=pull_failed peer={} error={}",
+                    peer.name,
+                    logfmt::value(&error)
+                );
                 return;
             }
         }
@@ -114,7 +119,11 @@
     if let Some(page) = reply.delta
         && let Err(error) = take_page(agent, incoming, page)
     {
-        log::warn!("event=pull_rejected peer={} error=\"{error}\"", peer.name);
+        log::warn!(
+            "event=pull_rejected peer={} error={}",
+            peer.name,
+            logfmt::value(&error)
+        );
         return;
     }
     let ages: Vec<RegionAges> = reply
--- a/crates/filbertgrade/src/process/agent/store.rs
+++ b/crates/filbertgrade/src/process/agent/store.rs
@@ -7,6 +7,7 @@
 use filbertgrade_coord::versioned::Applied;
 
 use super::Agent;
+use crate::logfmt;
 use crate::platform::{Changes, PlatformError, Revision, WATCHED_PREFIXES};
 
 /// Wait of one watch. Its end confirms the revision, so it must be well under
@@ -51,7 +52,7 @@
                 match watched {
                     Ok(()) => failures = 0,
                     Err(error) => {
-                        log::warn!("event=watch_failed error=\"{error}\"");
+                        log::warn!("event=watch_failed error={}", logfmt::value(&error));
                         tokio::time::sleep(retry_pause(&agent, failures)).await;
                         failures += 1;
                     }
@@ -61,7 +62,7 @@
                 let polls = polled.map_or(0, |(_, polls)| polls) + 1;
                 polled = Some((Instant::now(), polls));
                 if let Err(error) = watch_once(&agent, Duration::ZERO).await {
-                    log::warn!("event=poll_failed error=\"{error}\"");
+                    log::warn!("event=poll_failed error={}", logfmt::value(&error));
                 }
             }
             Step::Rest { confirmed } => {
@@ -140,7 +141,7 @@
     let revision = listed.revision;
     match agent.advance(|objects| objects.apply_snapshot(listed.into_snapshot())) {
         Ok(_) => confirm_at(agent, sent, revision),
-        Err(error) => log::warn!("event=list_rejected error=\"{error}\""),
+        Err(error) => log::warn!("event=list_rejected error={}", logfmt::value(&error)),
     }
 }
 
@@ -154,7 +155,7 @@
             );
         }
         Ok(_) => {}
-        Err(error) => log::warn!("event=changes_rejected error=\"{error}\""),
+        Err(error) => log::warn!("event=changes_rejected error={}", logfmt::value(&error)),
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -18,7 +18,9 @@
 use tokio::sync::watch;
 
 use super::answer::{Body, json, refuse};
+use super::caller_io::CallerIo;
 use super::{Entry, carry, lookup};
+use crate::logfmt;
 use crate::process::tasks::Running;
 use crate::request::{Cause, Refusal};
 
@@ -73,7 +75,7 @@
         match accepted {
             Ok((stream, peer)) => accept(entry, stream, peer, close.clone()),
             Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
+                log::warn!("event=accept_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -151,7 +153,7 @@
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD)
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(stream), handler)
+            .serve_connection(TokioIo::new(CallerIo::new(stream)), handler)
     );
     tokio::select! {
         _ = &mut server => return,
@@ -177,7 +179,7 @@
             .initial_connection_window_size(CONNECTION_WINDOW)
             .initial_stream_window_size(STREAM_WINDOW)
             .max_send_buf_size(STREAM_WINDOW as usize)
-            .serve_connection(TokioIo::new(stream), handler)
+            .serve_connection(TokioIo::new(CallerIo::new(stream)), handler)
     );
     tokio::select! {
         _ = &mut server => return,
--- a/crates/filbertgrade/src/process/entry/feed.rs
+++ b/crates/filbertgrade/src/process/entry/feed.rs
@@ -9,6 +9,7 @@
 
 use super::Entry;
 use crate::connection::PeerLink;
+use crate::logfmt;
 use crate::version::{InForce, IncomingDelta};
 use crate::wire::{Body, Feed, Hello, Report};
 
@@ -39,7 +40,7 @@
             }
             Ok(_) => tokio::time::sleep(RETRY_PAUSE).await,
             Err(error) => {
-                log::warn!("event=feed_failed error=\"{error}\"");
+                log::warn!("event=feed_failed error={}", logfmt::value(&error));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -57,9 +58,9 @@
         Some(Ok(Some(delta))) => match crate::version::apply_delta(objects, delta) {
             Ok(Applied::Advanced(names)) => put_in_force(entry, objects, &names),
             Ok(Applied::Stale | Applied::Gap { .. }) => {}
-            Err(error) => log::warn!("event=feed_rejected error=\"{error}\""),
+            Err(error) => log::warn!("event=feed_rejected error={}", logfmt::value(&error)),
         },
-        Some(Err(error)) => log::warn!("event=feed_rejected error=\"{error}\""),
+        Some(Err(error)) => log::warn!("event=feed_rejected error={}", logfmt::value(&error)),
         Some(Ok(None)) | None => {}
     }
     let until = match feed.valid_ms {
--- a/crates/filbertgrade/src/request/guard.rs
+++ b/crates/filbertgrade/src/request/guard.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::{Cause, Refusal};
+use crate::logfmt;
 use crate::platform::{Condition, Platform, PlatformError, Revision};
 use crate::process::tasks::Tasks;
 
@@ -286,7 +287,10 @@
 }
 
 fn unavailable(name: &str, error: &PlatformError) -> Refusal {
-    log::warn!("event=guard_unavailable name={name} error=\"{error}\"");
+    log::warn!(
+        "event=guard_unavailable name={name} error={}",
+        logfmt::value(error)
+    );
     Refusal::not_run(Cause::GuardUnavailable)
 }
 
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -14,6 +14,7 @@
 
 use super::shares::{self, SHARE_TABLE};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
+use crate::logfmt;
 use crate::platform::Revision;
 
 /// Name of the object that makes a configuration visible.
@@ -136,10 +137,12 @@
         }
     }
 
-    /// A VM that stays and is not drained.
+    /// A VM that stays and is not drained, nor its region.
     #[must_use]
     pub fn takes_work(&self, vm: &VmRecord) -> bool {
-        vm.is_live() && !self.drained_vms.contains(vm.name.as_str())
+        vm.is_live()
+            && !self.drained_vms.contains(vm.name.as_str())
+            && !self.drained_regions.contains(vm.region.as_str())
     }
 
     /// Endpoints of a service in a region.
@@ -159,7 +162,8 @@
                     .map(move |(_, address)| Endpoint {
                         address,
                         slots: service.slots,
-                        drained: self.is_drained(address),
+                        drained: self.drained_regions.contains(region.as_str())
+                            || self.is_drained(address),
                     })
             })
     }
@@ -225,8 +229,9 @@
         Ok(config) => Some((root.version, config)),
         Err(error) => {
             log::error!(
-                "event=config_malformed version={} error=\"{error}\"",
-                root.version
+                "event=config_malformed version={} error={}",
+                root.version,
+                logfmt::value(&error)
             );
             None
         }
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -11,6 +11,9 @@
 
 mod bad_input;
 mod decisions;
+mod graceful_stop;
 mod http2;
+mod pool;
+mod random_faults;
 mod scenario;
 mod streaming;
