--- a/crates/filbertgrade/src/process/agent/dump.rs
+++ b/crates/filbertgrade/src/process/agent/dump.rs
@@ -24,7 +24,7 @@
 
 fn set_gauges(agent: &Agent) {
     let vm = agent.settings.vm.to_string();
-    let valid = agent.state().valid_for(Instant::now());
+    let valid = agent.state().valid_for(Instant::now()).unwrap_or_default();
     metrics::gauge!("agent_revision", "vm" => vm.clone()).set(*agent.revision.borrow() as f64);
     metrics::gauge!("agent_valid_seconds", "vm" => vm).set(valid.as_secs_f64());
 }
@@ -44,7 +44,8 @@
         "failure_domain": agent.settings.failure_domain.as_str(),
         "revision": state.objects.revision(),
         "objects": state.objects.len(),
-        "valid_ms": millis(state.valid_for(Instant::now())),
+        // Null while the agent knows too little to judge.
+        "valid_ms": state.valid_for(Instant::now()).map(millis),
         "entry_revision": report.as_ref().map(|report| report.revision),
         "entry_config_version": report.as_ref().map(|report| report.config_version),
         "entry_reported_ms_ago": reported_at.map(|at| millis(at.elapsed())),
