Find a client's region in a block table, and split traffic by the weights

Look-ups scanned all client blocks, and weights of the configuration had no effect. The block table is now built once for each configuration version and held in the view in force. Clients without a block get a region by the weights; clients of a region whose weight is below its arrivals move out of it in proportion. Entries choose the first region of a request in the same way.

Regions without VMs are taken out of the expected arrivals, so that callers who turn to other regions do not lift the cap.

The scan was not measured.

--- a/crates/filbertgrade-coord/src/weights.rs
+++ b/crates/filbertgrade-coord/src/weights.rs
@@ -9,7 +9,7 @@
 pub const WEIGHT_UNITS: u32 = 10_000;
 
 /// Time for a published step to be in force everywhere.
-const IN_FORCE_AFTER: Duration = Duration::from_secs(8);
+pub const IN_FORCE_AFTER: Duration = Duration::from_secs(8);
 
 /// The share of traffic that each region gets.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,47 @@
         Ok(Self { units })
     }
 
+    /// Creates weights in proportion to relative numbers.
+    ///
+    /// Returns `None` if no number is above zero. Rounding error stays below
+    /// one unit for each region.
+    pub fn in_proportion(parts: &BTreeMap<RegionName, f64>) -> Option<Self> {
+        let part = |value: &f64| value.max(0.0);
+        let sum: f64 = parts.values().map(part).sum();
+        if !(sum > 0.0 && sum.is_finite()) {
+            return None;
+        }
+        // Rounds the running sum, so that the units add up exactly.
+        let last_with_part = parts.iter().rfind(|(_, value)| **value > 0.0)?.0;
+        let (mut running, mut given) = (0.0, 0);
+        let units = parts
+            .iter()
+            .map(|(region, value)| {
+                running += part(value);
+                let upto = if region >= last_with_part {
+                    WEIGHT_UNITS
+                } else {
+                    ((running / sum * f64::from(WEIGHT_UNITS)).round() as u32).min(WEIGHT_UNITS)
+                };
+                let units = upto - given;
+                given = upto;
+                (region.clone(), units)
+            })
+            .collect();
+        Some(Self { units })
+    }
+
+    /// Returns the average of several weights, `None` if there are none.
+    pub fn average<'a>(weights: impl IntoIterator<Item = &'a Weights>) -> Option<Self> {
+        let mut sums: BTreeMap<RegionName, f64> = BTreeMap::new();
+        for weights in weights {
+            for (region, units) in &weights.units {
+                *sums.entry(region.clone()).or_default() += f64::from(*units);
+            }
+        }
+        Self::in_proportion(&sums)
+    }
+
     /// The units of each region.
     pub fn units(&self) -> &BTreeMap<RegionName, u32> {
         &self.units
@@ -89,13 +130,30 @@
     last_step: Option<Instant>,
     time_to_live: Duration,
     now: Instant,
+) -> WeightStep {
+    let pause = time_to_live + IN_FORCE_AFTER;
+    next_weights_after(current, target, cap, last_step, pause, now)
+}
+
+/// Decides like [`next_weights`], with the whole time between two steps given.
+///
+/// A `pause` below the time to live of look-up answers plus the time in which
+/// a step comes into force lets two steps overlap, so that more than `cap`
+/// moves at once.
+pub fn next_weights_after(
+    current: &Weights,
+    target: &Weights,
+    cap: u32,
+    last_step: Option<Instant>,
+    pause: Duration,
+    now: Instant,
 ) -> WeightStep {
     let distance = current.distance(target);
     if distance == 0 || cap == 0 {
         return WeightStep::Done;
     }
     if let Some(at) = last_step {
-        let until = at + time_to_live + IN_FORCE_AFTER;
+        let until = at + pause;
         if now < until {
             return WeightStep::Wait { until };
         }
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -218,7 +218,7 @@
     let leaving = entry.is_leaving().then_some(&entry.settings.vm);
     json(
         StatusCode::OK,
-        &lookup::answer(&view, Some(client), entry.settings.ports.caller, leaving),
+        &lookup::answer(&view, client, entry.settings.ports.caller, leaving),
     )
 }
 
--- a/crates/filbertgrade/src/process/entry/lookup.rs
+++ b/crates/filbertgrade/src/process/entry/lookup.rs
@@ -2,17 +2,17 @@
 
 use std::net::IpAddr;
 
-use filbertgrade_coord::names::{RegionName, VmName};
+use filbertgrade_coord::names::VmName;
 use serde::Serialize;
 
-use crate::version::{InForce, VmRecord};
+use crate::version::{InForce, VmRecord, client_hash, client_point};
 
 /// Most VMs named in one answer; callers try them in order.
 const MOST_VMS: usize = 4;
 
 /// Answer to a look-up.
 #[derive(Debug, Serialize)]
-pub(crate) struct LookupAnswer {
+pub struct LookupAnswer {
     ttl_ms: u64,
     vms: Vec<LookupVm>,
 }
@@ -24,31 +24,29 @@
     region: String,
 }
 
-/// Orders the VMs for a client: its own region first, spread over the VMs of
-/// a region by the client's address. The own VM is left out while it is
-/// `leaving`.
-pub(crate) fn answer(
-    view: &InForce,
-    client: Option<IpAddr>,
-    port: u16,
-    leaving: Option<&VmName>,
-) -> LookupAnswer {
-    let region = client.and_then(|client| region_of(view, client));
-    let mut vms = Vec::new();
-    for region in view.region_order(region.as_ref()) {
-        let mut of_region: Vec<&VmRecord> = view
-            .vms
-            .values()
-            .filter(|vm| vm.region == region && view.takes_work(vm))
-            .filter(|vm| Some(&vm.name) != leaving)
-            .collect();
-        if !of_region.is_empty() {
-            let start = client_hash(client) % of_region.len();
-            of_region.rotate_left(start);
-        }
-        vms.extend(of_region);
+/// Orders the VMs for a client.
+///
+/// The region comes from the client blocks, or else by the weights, and VMs of
+/// a region are spread by the client's address. The other regions follow. The
+/// own VM is left out while it is `leaving`.
+#[must_use]
+pub fn answer(view: &InForce, client: IpAddr, port: u16, leaving: Option<&VmName>) -> LookupAnswer {
+    let clients = view.clients.as_deref();
+    let region = clients.and_then(|clients| clients.region_of(client));
+    let hash = client_hash(client) as usize;
+    let mut vms: Vec<&VmRecord> = Vec::with_capacity(MOST_VMS);
+    let mut regions = view
+        .routes
+        .vms_for(region, client_point(client))
+        .enumerate()
+        .peekable();
+    while let Some((n, (_, of_region))) = regions.next() {
+        let (before, after) = of_region.split_at(hash % of_region.len());
+        let in_order = after.iter().chain(before).map(AsRef::as_ref);
+        // The first region leaves one place for another, in case it is away.
+        let room = MOST_VMS - vms.len() - usize::from(n == 0 && regions.peek().is_some());
+        vms.extend(in_order.filter(|vm| Some(&vm.name) != leaving).take(room));
     }
-    vms.truncate(MOST_VMS);
     LookupAnswer {
         ttl_ms: view
             .config
@@ -65,18 +63,3 @@
         region: vm.region.to_string(),
     }
 }
-
-fn region_of(view: &InForce, client: IpAddr) -> Option<RegionName> {
-    let config = view.config.as_ref()?;
-    config
-        .client_blocks
-        .iter()
-        .filter(|(block, _)| block.contains(&client))
-        .max_by_key(|(block, _)| block.prefix_len())
-        .map(|(_, region)| region.clone())
-}
-
-fn client_hash(client: Option<IpAddr>) -> usize {
-    let text = client.map(|ip| ip.to_string()).unwrap_or_default();
-    xxhash_rust::xxh3::xxh3_64(text.as_bytes()) as usize
-}
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -8,7 +8,7 @@
 mod dump;
 mod feed;
 mod links;
-mod lookup;
+pub mod lookup;
 mod peers;
 mod shutdown;
 mod slots;
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -246,15 +246,26 @@
             .collect()
     }
 
-    /// Regions with usable endpoints of the service, the own region first.
+    /// Regions with usable endpoints of the service: the one that the weights
+    /// choose first, then the others that have a part of the traffic. Regions
+    /// without one are used only when there is no other.
     fn regions(&self, view: &InForce, ask: &SlotAsk) -> Vec<RegionName> {
-        view.region_order(Some(&self.shared.settings.region))
-            .into_iter()
-            .filter(|region| {
-                view.usable_endpoints(&ask.service, region)
-                    .any(|(endpoint, _)| !ask.avoid.contains(&endpoint))
-            })
-            .collect()
+        let own = &self.shared.settings.region;
+        let first = view
+            .routes
+            .region_for(&ask.service, own, rand::random::<f64>());
+        let mut regions = view.region_order(Some(first.unwrap_or(own)));
+        regions.retain(|region| {
+            view.usable_endpoints(&ask.service, region)
+                .any(|(endpoint, _)| !ask.avoid.contains(&endpoint))
+        });
+        let has_part = |region: &RegionName| {
+            Some(region) == first || view.routes.is_other_choice(&ask.service, region)
+        };
+        if regions.iter().any(has_part) {
+            regions.retain(has_part);
+        }
+        regions
     }
 
     /// Wait in the queue of each region in turn: as long as sending the
--- a/crates/filbertgrade/src/version/config/mod.rs
+++ b/crates/filbertgrade/src/version/config/mod.rs
@@ -35,6 +35,10 @@
     /// Largest fraction of a service's traffic that one step may move between
     /// regions; above 0 and at most 1.
     pub shift_cap: f64,
+    /// Time for a step to be in force on every VM. The next step follows after
+    /// this time and `lookup_ttl`. A time shorter than a VM takes to learn of
+    /// a step or to find itself isolated lets two steps overlap.
+    pub shift_settle: Duration,
     /// What the network between regions gives.
     pub network: Network,
     /// Regions, in the order of the file. Every failure domain belongs to
@@ -70,6 +74,8 @@
 pub struct RegionConfig {
     /// Failure domains of the region.
     pub failure_domains: Vec<FailureDomainName>,
+    /// Expected share of the callers' traffic; only the proportions count.
+    pub arrivals: u32,
 }
 
 /// One service.
--- a/crates/filbertgrade/src/version/config/read.rs
+++ b/crates/filbertgrade/src/version/config/read.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use filbertgrade_coord::names::{FailureDomainName, NameError, RegionName};
+use filbertgrade_coord::weights::IN_FORCE_AFTER;
 use indexmap::IndexMap;
 use ipnet::IpNet;
 
@@ -19,6 +20,9 @@
 /// a longer one delays drains and moves.
 const TTL_MS: RangeInclusive<i64> = 100..=600_000;
 
+/// A step of the region weights needs some time to reach every VM.
+const SETTLE_MS: RangeInclusive<i64> = 100..=600_000;
+
 /// Slots, connections and weights; far above any backend server, and low
 /// enough that sums over a fleet stay exact.
 const COUNT: RangeInclusive<i64> = 1..=1_000_000;
@@ -72,7 +76,7 @@
         let deployment = self.required(&mut root, "deployment", NAME);
         let deployment = deployment.and_then(|(node, path)| self.name::<RegionName>(node, &path));
         let lookup_ttl = self.lookup(&mut root);
-        let shift_cap = self.shift(&mut root);
+        let shift = self.shift(&mut root);
         let known = self.regions(&mut root);
         let network = self.network(&mut root, &known);
         let services = self.services(&mut root, &known);
@@ -82,7 +86,8 @@
         Some(Config {
             deployment: deployment?.to_string(),
             lookup_ttl: lookup_ttl?,
-            shift_cap: shift_cap?,
+            shift_cap: shift?.0,
+            shift_settle: shift?.1,
             network: network?,
             regions: known.regions,
             services,
@@ -98,12 +103,18 @@
         Some(Duration::from_millis(ttl?.unsigned_abs()))
     }
 
-    fn shift(&mut self, root: &mut Table<'_>) -> Option<f64> {
+    fn shift(&mut self, root: &mut Table<'_>) -> Option<(f64, Duration)> {
         let mut table = self.section(root, "shift")?;
         let accepted = "a number above 0 and at most 1";
         let cap = self.number(&mut table, "cap", accepted, |cap| cap > 0.0 && cap <= 1.0);
+        let settle = match table.get("settle_ms") {
+            None => Some(IN_FORCE_AFTER),
+            Some((node, path)) => self
+                .integer_of(node, &path, &SETTLE_MS)
+                .map(|ms| Duration::from_millis(ms.unsigned_abs())),
+        };
         self.finish(&table);
-        cap
+        Some((cap?, settle?))
     }
 
     fn network(&mut self, root: &mut Table<'_>, known: &Known) -> Option<Network> {
@@ -138,27 +149,46 @@
         };
         for (key, node, path) in self.entries(root, "regions", "at least one region") {
             let name = self.key_name::<RegionName>(key, node.at, &path);
-            let failure_domains = self.failure_domains(node, &path, name.as_ref(), &mut known);
+            let region = self.region(node, &path, name.as_ref(), &mut known);
             if let Some(name) = name {
-                known.regions.insert(name, RegionConfig { failure_domains });
+                known.regions.insert(name, region);
             }
         }
         known
     }
 
-    fn failure_domains(
+    fn region(
         &mut self,
         node: &Node,
         path: &str,
+        name: Option<&RegionName>,
+        known: &mut Known,
+    ) -> RegionConfig {
+        let mut region = RegionConfig {
+            failure_domains: Vec::new(),
+            arrivals: 1,
+        };
+        if let Some(mut table) = self.table(node, path) {
+            region.failure_domains = self.failure_domains(&mut table, name, known);
+            if let Some((node, path)) = table.get("arrivals")
+                && let Some(arrivals) = self.integer_of(node, &path, &WEIGHT)
+            {
+                region.arrivals = count(arrivals);
+            }
+            self.finish(&table);
+        }
+        region
+    }
+
+    fn failure_domains(
+        &mut self,
+        table: &mut Table<'_>,
         region: Option<&RegionName>,
         known: &mut Known,
     ) -> Vec<FailureDomainName> {
-        let Some(mut table) = self.table(node, path) else {
-            return Vec::new();
-        };
         let accepted = "an array of at least one failure domain";
         let mut names = Vec::new();
-        if let Some((node, path)) = self.required(&mut table, "failure_domains", accepted) {
+        if let Some((node, path)) = self.required(table, "failure_domains", accepted) {
             for item in self.array(node, &path, accepted, false) {
                 let Some(name) = self.name::<FailureDomainName>(item, &path) else {
                     continue;
@@ -173,7 +203,6 @@
                 names.push(name);
             }
         }
-        self.finish(&table);
         names
     }
 
--- a/crates/filbertgrade/src/version/config/text.rs
+++ b/crates/filbertgrade/src/version/config/text.rs
@@ -51,6 +51,7 @@
         lines.one("deployment".into(), quoted(&self.deployment));
         lines.one("lookup.ttl_ms".into(), self.lookup_ttl.as_millis());
         lines.one("shift.cap".into(), float(self.shift_cap));
+        lines.one("shift.settle_ms".into(), self.shift_settle.as_millis());
         let network = &self.network;
         lines.one("network.store_region".into(), quoted(&network.store_region));
         for (key, value) in [
@@ -70,6 +71,7 @@
                 format!("regions.{name}.failure_domains"),
                 &region.failure_domains,
             );
+            lines.one(format!("regions.{name}.arrivals"), region.arrivals);
         }
         for (name, service) in &self.services {
             let path = format!("services.{name}");
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -9,9 +9,12 @@
 use filbertgrade_coord::names::{RegionName, VmName};
 use filbertgrade_coord::share_table::ShareTable;
 use filbertgrade_coord::versioned::VersionedMap;
+use filbertgrade_coord::weights::Weights;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::clients::ClientTable;
+use super::routes::{self, Routes, RoutesInput};
 use super::shares::{self, SHARE_TABLE};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
 use crate::logfmt;
@@ -58,6 +61,10 @@
     pub config_version: u64,
     /// The configuration, once one was accepted.
     pub config: Option<Arc<Config>>,
+    /// Client blocks of the configuration.
+    pub(crate) clients: Option<Arc<ClientTable>>,
+    /// How traffic is split over regions.
+    pub(crate) routes: Arc<Routes>,
     /// Keys.
     pub keys: KeyTable,
     /// VMs of the platform's list.
@@ -92,15 +99,24 @@
             revision: objects.revision(),
             config_version: previous.config_version,
             config: previous.config.clone(),
+            clients: previous.clients.clone(),
             ..Self::default()
         };
         for (name, entry) in objects.iter() {
             view.add(name, &entry.value);
         }
         if let Some((version, config)) = newer_config(objects, previous.config_version) {
+            match ClientTable::build(version, &config) {
+                Ok(table) => view.clients = Some(Arc::new(table)),
+                Err(error) => log::error!(
+                    "event=client_blocks_malformed version={version} error={}",
+                    crate::logfmt::value(&error)
+                ),
+            }
             view.config_version = version;
             view.config = Some(Arc::new(config));
         }
+        view.routes = Arc::new(view.new_routes());
         view
     }
 
@@ -137,6 +153,24 @@
         }
     }
 
+    fn new_routes(&self) -> Routes {
+        let Some(config) = self.config.as_deref() else {
+            return Routes::default();
+        };
+        let services = routes::targets(config, &self.drained_regions);
+        let Some(lookups) = Weights::average(services.values()) else {
+            return Routes::default();
+        };
+        let vms = self.vms.values().filter(|vm| self.takes_work(vm));
+        Routes::new(RoutesInput {
+            config,
+            drained: &self.drained_regions,
+            vms: vms.collect(),
+            lookups,
+            services,
+        })
+    }
+
     /// A VM that stays and is not drained, nor its region.
     #[must_use]
     pub fn takes_work(&self, vm: &VmRecord) -> bool {
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -1,12 +1,14 @@
 //! What lives for a version of the state: configuration, keys, drains, the VM
 //! list, and the view of all of them that is in force.
 
+mod clients;
 mod config;
 mod delta;
 mod fleet;
 mod in_force;
 mod keys;
 mod names;
+mod routes;
 mod shares;
 
 pub use config::{
@@ -18,4 +20,5 @@
 pub use in_force::{AppliedVersion, CONFIG_ROOT, ConfigRoot, InForce, RECENT_APPLIES};
 pub use keys::{KeyDigest, KeyRecord, KeySecret, KeyState, KeyTable};
 pub use names::ServiceName;
+pub(crate) use routes::{client_hash, client_point};
 pub(crate) use shares::{SHARE_TABLE, decode as decode_share_table, encode as encode_share_table};
