--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -77,6 +77,9 @@
     /// A process did not come up.
     #[error("the configuration is not in force everywhere after {} s", READY_WITHIN.as_secs())]
     NotReady,
+    /// Counts that must be zero are not.
+    #[error("promises broken: {0}")]
+    Broken(String),
     /// The load stopped early.
     #[error("the load stopped: {0}")]
     Load(tokio::task::JoinError),
--- a/crates/filbertgrade/src/process/command/dev/mod.rs
+++ b/crates/filbertgrade/src/process/command/dev/mod.rs
@@ -50,8 +50,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the file is invalid, when an address is in use, or when the
-/// deployment does not come up.
+/// Fails when the file is invalid, when an address is in use, when the
+/// deployment does not come up, or when a count that must be zero is not.
 pub async fn dev(flags: &Dev) -> Result<(), DevError> {
     let text = std::fs::read_to_string(&flags.file).map_err(|source| DevError::Read {
         path: flags.file.clone(),
@@ -90,7 +90,10 @@
     } else {
         print!("{}", report.to_table());
     }
-    Ok(())
+    match report.broken_promises() {
+        broken if broken.is_empty() => Ok(()),
+        broken => Err(DevError::Broken(broken.join(", "))),
+    }
 }
 
 /// What was seen of the backend servers during the run.
@@ -194,9 +197,11 @@
         .map(crate::version::ServiceName::as_str)
         .collect();
     let at = |index: usize| services[index.min(services.len() - 1)];
+    let mut order = Kind::order(at(1)).weight(20);
+    order.idempotency_key = true;
     vec![
         Kind::chart(at(0)).weight(70),
-        Kind::order(at(1)).weight(20),
+        order,
         Kind::upload(at(2), UPLOAD_BYTES).weight(10),
     ]
 }
--- a/crates/filbertgrade/src/process/command/dev/report.rs
+++ b/crates/filbertgrade/src/process/command/dev/report.rs
@@ -133,6 +133,28 @@
         }
     }
 
+    /// Counts that are not zero although each of them breaks a promise.
+    ///
+    /// Requests that meet busy slots are not among them: the backend server
+    /// refuses them and they run elsewhere.
+    pub(super) fn broken_promises(&self) -> Vec<String> {
+        let counts = [
+            ("lost", self.lost),
+            ("cut", self.cut),
+            ("repeated", self.repeated),
+            ("wrong_answer", self.wrong_answer),
+            ("wrong_team", self.wrong_team),
+            ("ran_after_not_run", self.ran_after_not_run),
+            ("key_seen_by_backend", self.key_seen_by_backend),
+            ("over_rate", self.over_rate),
+            ("over_connections", self.over_connections),
+        ];
+        let broken = counts.into_iter().filter(|(_, count)| *count > 0);
+        broken
+            .map(|(name, count)| format!("{name}={count}"))
+            .collect()
+    }
+
     pub(super) fn to_json(&self) -> String {
         serde_json::to_string_pretty(self).unwrap_or_default()
     }
