--- a/crates/filbertgrade/tests/it/main.rs
+++ b/crates/filbertgrade/tests/it/main.rs
@@ -7,4 +7,5 @@
 
 #[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
+mod leaving;
 mod thin_path;
--- a/crates/filbertgrade/tests/it/thin_path.rs
+++ b/crates/filbertgrade/tests/it/thin_path.rs
@@ -63,13 +63,13 @@
     assert!(fleet.backends.iter().all(|b| b.ran("r-2") == 0));
 }
 
-async fn serves(vm: SocketAddr, secret: &str) -> bool {
+pub(crate) async fn serves(vm: SocketAddr, secret: &str) -> bool {
     send(vm, chart(Some(secret), "probe"))
         .await
         .is_ok_and(|answer| answer.status() == StatusCode::OK)
 }
 
-async fn look_up(vm: SocketAddr, client: &str) -> Vec<serde_json::Value> {
+pub(crate) async fn look_up(vm: SocketAddr, client: &str) -> Vec<serde_json::Value> {
     let req = Request::get(format!("/v1/lookup?client={client}"))
         .header("host", "lookup")
         .body(Full::default())
