--- a/crates/filbertgrade/tests/it/leaving.rs
+++ b/crates/filbertgrade/tests/it/leaving.rs
@@ -4,7 +4,7 @@
 
 use filbertgrade_standins::caller::{Key, Kind, Load, LoadConfig, Route, TeamLoad};
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Vm};
 use crate::thin_path::{look_up, serves};
 
 /// Longest time until a leaving backend server gets no new work, from the
@@ -26,7 +26,7 @@
     let mix = vec![Kind::chart("chart").weight(4), Kind::order("chart")];
     let mut team = TeamLoad::new("atelier", 60.0, mix);
     team.key = Some(Key::new(secret));
-    let vms = fleet.vms.iter().map(|vm| vm.callers()).collect();
+    let vms = fleet.vms.iter().map(Vm::callers).collect();
     let mut cfg = LoadConfig::new(Route::Vms(vms), vec![team]);
     cfg.duration = Duration::from_secs(9);
     let running = tokio::spawn(Load::new(cfg).run());
