Follow the allocator's lease while waiting for it

Cause: a candidate read the lease once and then waited for 10 s, without seeing that the holder renewed it meanwhile. Its take-over then conflicted, and the wait began anew. The lease of a dead holder stayed taken for up to 20 s.

Now a candidate reads the lease every 2 s while it waits; three candidates cost 1 read/s together. The lease test states the reads between.

A write that the paused holder had under way at the instant of its pause is not forced by the scenarios; the random test of the lease covers late writes.

Ruled out: a table that stays incomplete after the holder's agent is killed is right, since that VM acknowledges nothing until its agent is back.

--- a/crates/filbertgrade-coord/src/lease.rs
+++ b/crates/filbertgrade-coord/src/lease.rs
@@ -15,6 +15,8 @@
     incarnation: u64,
     cfg: LeaseConfig,
     seen: Option<Seen>,
+    /// When the object was last read.
+    read_at: Option<Instant>,
     /// The write whose outcome is not known.
     pending: Option<Pending>,
     held: Option<Held>,
@@ -110,7 +112,7 @@
         /// The record to store.
         record: LeaseRecord,
     },
-    /// Read the record: no read has been seen yet, or a write's outcome is unknown.
+    /// Read the record: no recent read has been seen, or a write's outcome is unknown.
     Read,
     /// Decide again at this instant.
     Wait {
@@ -149,6 +151,7 @@
             incarnation,
             cfg,
             seen: None,
+            read_at: None,
             pending: None,
             held: None,
             writes: 0,
@@ -167,6 +170,7 @@
     /// `stored` is its revision and record, or `None` if it does not exist. A
     /// lower revision than the newest seen is ignored.
     pub fn observe(&mut self, now: Instant, stored: Option<(u64, LeaseRecord)>) {
+        self.read_at = Some(now);
         if let Some(seen) = &self.seen {
             let old = seen.stored.as_ref().map(|(revision, _)| *revision);
             let new = stored.as_ref().map(|(revision, _)| *revision);
@@ -218,7 +222,14 @@
         }
         let free_at = seen.since + self.cfg.duration;
         if record.holder.is_some() && now < free_at {
-            return LeaseAction::Wait { until: free_at };
+            // Without reads, a candidate that waits does not see renewals, and
+            // the lease of a dead holder stays taken for up to two durations.
+            let read_at = self.read_at.unwrap_or(seen.since) + self.cfg.renew_every;
+            if read_at <= now {
+                return LeaseAction::Read;
+            }
+            let until = free_at.min(read_at);
+            return LeaseAction::Wait { until };
         }
         self.write(now, Some(revision), FencingToken(token.0 + 1))
     }
--- a/crates/filbertgrade-coord/tests/state.rs
+++ b/crates/filbertgrade-coord/tests/state.rs
@@ -286,6 +286,10 @@
     // The validity counts from the send time at 0 s.
     assert_eq!((a.held(at(6)), a.held(at(7))), (Some(first), None));
     b.observe(at(1), store.read());
+    // Reads that show no renewal do not put the take-over off.
+    assert_eq!(b.next(at(2)), LeaseAction::Wait { until: at(3) });
+    assert_eq!(b.next(at(10)), LeaseAction::Read);
+    b.observe(at(10), store.read());
     assert_eq!(b.next(at(10)), LeaseAction::Wait { until: at(11) });
     let take_over = b.next(at(11));
     b.written(at(11), store.write(&take_over).unwrap());
--- a/crates/filbertgrade/tests/agents/main.rs
+++ b/crates/filbertgrade/tests/agents/main.rs
@@ -5,6 +5,7 @@
     reason = "a set-up step that fails must fail the test"
 )]
 
+mod allocation;
 mod config;
 #[path = "../it/fleet.rs"]
 #[expect(dead_code, reason = "the harness serves more than these tests")]
--- a/crates/filbertgrade/tests/agents/scenario.rs
+++ b/crates/filbertgrade/tests/agents/scenario.rs
@@ -21,7 +21,12 @@
 //! - `cut n,m [store=BOOL] [peers=BOOL]`, `store FAULT=VALUE`,
 //!   `signal n PROCESS SIGNAL`, `restart n PROCESS`, `kill n PROCESS`, `list n STATE`,
 //!   `lookup n names=m`, `calls under=N`: whether the platform got fewer calls since the last
-//!   `count`, `shares`: whether every table so far added up to at most 10,000, `sleep MS`.
+//!   `count`, `sleep MS`.
+//! - `race WORD WORD`: applies both versions at once; how many were accepted.
+//! - `pause_holder SIGNAL`: signals the agent that holds the allocator lease; `CONT` and
+//!   `RESTART` go to the one that was signalled. `holders`: whether several agents held the lease so far.
+//! - `shares`: what is wrong with the share tables that the platform held so far: a sum
+//!   above 10,000, a token that went backward, or a last table without all units.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
@@ -35,6 +40,7 @@
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
+use crate::allocation::Allocation;
 use crate::fleet::{Fleet, Regions, Vm, invoke, send};
 use crate::load::{Load, request, runs, serves};
 
@@ -49,6 +55,8 @@
         keys: BTreeMap::new(),
         versions: BTreeMap::new(),
         counted: PlatformCounts::default(),
+        allocation: Allocation::default(),
+        paused: None,
     };
     goldenscript::run(&mut world, path).unwrap();
 }
@@ -60,6 +68,8 @@
     keys: BTreeMap<String, UsedKey>,
     versions: BTreeMap<String, Load>,
     counted: PlatformCounts,
+    allocation: Allocation,
+    paused: Option<usize>,
 }
 
 struct UsedKey {
@@ -98,7 +108,9 @@
                 } else {
                     Regions::Alternate
                 };
-                self.fleet = Some(runtime.block_on(ready_fleet(first.parse()?, regions)));
+                let fleet = runtime.block_on(Fleet::start_proxied(first.parse()?, regions));
+                self.fleet = Some(fleet);
+                self.make_ready();
             }
             "load" => {
                 let fleet = self.fleet();
@@ -198,36 +210,16 @@
                 };
             }
             "version" => {
-                let fleet = self.fleet();
-                let text = fleet.config().replace("size-list", &first);
-                let file = tempfile::NamedTempFile::new()?;
-                std::fs::write(file.path(), text)?;
-                let store = fleet.platform.addr().to_string();
-                let path = file.path().to_str().ok_or("path")?;
-                let args = ["apply", path, "--store", &store, "--wait-limit-ms", "0"];
-                let output = runtime.block_on(invoke(&args));
-                out = output
-                    .status
-                    .code()
-                    .map_or("signal".into(), |c| c.to_string());
+                let code = runtime.block_on(apply(self.fleet(), &first))?;
+                out = code.map_or("signal".into(), |c| c.to_string());
             }
+            "race" => out = self.race(&[first, second])?,
             "in_force" => {
                 let within = millis(&mut args, "within")?.ok_or("within is missing")?;
                 let only = value::<usize>(&mut args, "vm")?;
                 let start = Instant::now();
-                out = "yes".to_owned();
-                for (n, vm) in self.fleet().vms.iter().enumerate() {
-                    let probe = || async {
-                        let answer = send(vm.callers(), request(&first, None, "probe")).await;
-                        answer.is_ok_and(|answer| answer.status() == 200)
-                    };
-                    while only.is_none_or(|only| only == n + 1) && !runtime.block_on(probe()) {
-                        if start.elapsed() > within {
-                            return Ok(format!("no, not on {}", vm.name));
-                        }
-                        std::thread::sleep(Duration::from_millis(20));
-                    }
-                }
+                let late = self.not_in_force(&first, only, within);
+                out = late.map_or("yes".into(), |vm| format!("no, not on {vm}"));
                 eprintln!(
                     "event=measured scenario={} version={first} in_force_ms={}",
                     self.name,
@@ -359,7 +351,27 @@
                     format!("no, {calls}")
                 };
             }
-            "sleep" => std::thread::sleep(Duration::from_millis(first.parse()?)),
+            "sleep" => self.sleep(Duration::from_millis(first.parse()?)),
+            "pause_holder" => {
+                let fleet = self.fleet.as_ref().ok_or("no fleet")?;
+                if first == "RESTART" {
+                    let paused = self.paused.ok_or("no holder was paused")?;
+                    let fleet = self.fleet.as_mut().ok_or("no fleet")?;
+                    fleet.vms[paused].restart_agent();
+                    return Ok(out);
+                }
+                if first != "CONT" {
+                    let holder = self.allocation.holder(&fleet.platform).ok_or("no holder")?;
+                    self.paused = fleet.vms.iter().position(|vm| vm.name == holder);
+                }
+                let paused = self.paused.ok_or("no holder was paused")?;
+                Vm::signal(&[&fleet.vms[paused].agent], &first);
+            }
+            "shares" => out = self.allocation.faults(),
+            "holders" => {
+                let several = self.allocation.holders() > 1;
+                out = if several { "several" } else { "one" }.to_owned();
+            }
             other => return Err(format!("unknown command {other}").into()),
         }
         args.reject_next()?;
@@ -378,6 +390,70 @@
         self.keys.get_mut(name).expect("the key was loaded before")
     }
 
+    /// Waits while it looks at the share table and the lease. The allocator
+    /// writes at most every 200 ms.
+    fn sleep(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            if let Some(fleet) = &self.fleet {
+                self.allocation.look(&fleet.platform);
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// The first VM that does not serve the version `within` that time.
+    fn not_in_force(&self, word: &str, only: Option<usize>, within: Duration) -> Option<String> {
+        let start = Instant::now();
+        for (n, vm) in self.fleet().vms.iter().enumerate() {
+            let probe = || async {
+                let answer = send(vm.callers(), request(word, None, "probe")).await;
+                answer.is_ok_and(|answer| answer.status() == 200)
+            };
+            while only.is_none_or(|only| only == n + 1) && !self.runtime.block_on(probe()) {
+                if start.elapsed() > within {
+                    return Some(vm.name.clone());
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        None
+    }
+
+    /// Two operators apply at once; how many were accepted, if the accepted
+    /// version comes into force everywhere and stays.
+    fn race(&self, words: &[String; 2]) -> Result<String, Failure> {
+        let fleet = self.fleet();
+        let (a, b) = self
+            .runtime
+            .block_on(async { tokio::join!(apply(fleet, &words[0]), apply(fleet, &words[1])) });
+        let codes = [a?, b?];
+        let accepted = |code: &Option<i32>| *code == Some(0) || *code == Some(8);
+        let Some(winner) = codes.iter().position(accepted) else {
+            return Ok(format!("none accepted: {codes:?}"));
+        };
+        for within in [Duration::from_secs(8), Duration::ZERO] {
+            if let Some(vm) = self.not_in_force(&words[winner], None, within) {
+                return Ok(format!("not in force on {vm}"));
+            }
+            std::thread::sleep(Duration::from_secs(2));
+        }
+        Ok(format!(
+            "{} accepted",
+            codes.iter().filter(|code| accepted(code)).count()
+        ))
+    }
+
+    fn make_ready(&self) {
+        let fleet = self.fleet();
+        self.runtime.block_on(async {
+            fleet.apply().await;
+            let secret = fleet.create_key("atelier").await;
+            let probe = |vm| serves_owned(vm, secret.clone());
+            fleet.wait_until(Duration::from_secs(10), probe).await;
+        });
+    }
+
     /// Starts the command and waits until the platform holds the withdrawal.
     fn withdraw(&mut self, name: &str) -> Result<(), Failure> {
         let store = self.fleet().platform.addr().to_string();
@@ -426,6 +502,16 @@
     Ok(value(args, key)?.map(Duration::from_millis))
 }
 
+/// Applies the fleet's configuration with an open service `word`; the exit code.
+async fn apply(fleet: &Fleet, word: &str) -> Result<Option<i32>, Failure> {
+    let file = tempfile::NamedTempFile::new()?;
+    std::fs::write(file.path(), fleet.config().replace("size-list", word))?;
+    let store = fleet.platform.addr().to_string();
+    let path = file.path().to_str().ok_or("the path is not UTF-8")?;
+    let args = ["apply", path, "--store", &store, "--wait-limit-ms", "0"];
+    Ok(invoke(&args).await.status.code())
+}
+
 fn numbers(text: &str) -> Result<Vec<usize>, Failure> {
     text.split(',')
         .map(|n| Ok(n.parse::<usize>()? - 1))
@@ -435,12 +521,3 @@
 async fn serves_owned(vm: std::net::SocketAddr, key: String) -> bool {
     serves(vm, &key).await
 }
-
-async fn ready_fleet(vms: u8, regions: Regions) -> Fleet {
-    let fleet = Fleet::start_proxied(vms, regions).await;
-    fleet.apply().await;
-    let secret = fleet.create_key("atelier").await;
-    let probe = |vm| serves_owned(vm, secret.clone());
-    fleet.wait_until(Duration::from_secs(10), probe).await;
-    fleet
-}
