--- a/crates/filbertgrade/src/connection/frame.rs
+++ b/crates/filbertgrade/src/connection/frame.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::traffic;
 use crate::wire::Frame;
 
 /// Longest frame accepted, in bytes without the length prefix.
@@ -53,6 +54,7 @@
             return Ok(None);
         }
         buf.advance(LENGTH_BYTES);
+        traffic::received(LENGTH_BYTES + length);
         Ok(Some(Frame::decode(buf.split_to(length).freeze())?))
     }
 }
@@ -66,6 +68,7 @@
             return Err(FrameError::TooLong { length });
         }
         buf.reserve(LENGTH_BYTES + length);
+        traffic::sent(LENGTH_BYTES + length);
         buf.put_slice(&(length as u32).to_be_bytes());
         frame
             .encode(buf)
--- a/crates/filbertgrade/src/connection/mod.rs
+++ b/crates/filbertgrade/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod frame;
 mod link;
 mod pool;
+pub(crate) mod traffic;
 mod watched;
 
 pub use backend::{Busy, Connection, Idle, PROOF_AGE, Proven, RequestBody};
--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -6,6 +6,7 @@
 use filbertgrade_coord::freshness::RegionAges;
 
 use super::{Agent, FEED_WAIT};
+use crate::connection::traffic;
 use crate::version::delta_for;
 use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
 
@@ -67,6 +68,7 @@
         vm: agent.settings.vm.to_string(),
         agent_revision: *agent.revision.borrow(),
         entry: report.clone().filter(|_| connected),
+        traffic: Some(traffic::total()),
     }
 }
 
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -205,6 +205,27 @@
     /// Last report of the entry, if it is connected.
     #[prost(message, optional, tag = "3")]
     pub entry: Option<Report>,
+    /// Traffic of the agent's links.
+    #[prost(message, optional, tag = "4")]
+    pub traffic: Option<LinkTraffic>,
+}
+
+/// Frames and bytes of all links of a process since it started, without TCP
+/// and IP headers.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LinkTraffic {
+    /// Frames received.
+    #[prost(uint64, tag = "1")]
+    pub frames_in: u64,
+    /// Bytes received.
+    #[prost(uint64, tag = "2")]
+    pub bytes_in: u64,
+    /// Frames sent.
+    #[prost(uint64, tag = "3")]
+    pub frames_out: u64,
+    /// Bytes sent.
+    #[prost(uint64, tag = "4")]
+    pub bytes_out: u64,
 }
 
 /// Asks for a loan of a team's rate and burst.
