Pull from a fixed set of neighbours

Cause: each round of pulling and each look at the relay choice walked the whole VM list, each round compared every link with every VM, and a link to each VM that was ever pulled from stayed open. All three grow with the fleet, the second with its square.

Ruled out: closing idle links alone. A random peer in another region is then a new connection in nearly every round, four per second.

Conclusion: an agent now pulls from up to 24 neighbours, eight in each tier. What follows from the VM list is worked out when the list changes.

--- a/crates/filbertgrade-coord/src/dissemination.rs
+++ b/crates/filbertgrade-coord/src/dissemination.rs
@@ -19,6 +19,13 @@
 /// Relays in each failure domain. With two, the loss of one VM leaves a watch in place.
 pub const RELAYS_PER_DOMAIN: usize = 2;
 
+/// Members of each tier that one agent pulls from over time.
+///
+/// It bounds the links of an agent to about three times as many out and, on
+/// average, in. With eight random members, a VM is cut off from a tier only
+/// when all eight have failed and the platform's list still names them.
+pub const NEIGHBOURS_PER_TIER: usize = 8;
+
 /// Time without a confirmation after which a non-relay polls the store itself.
 ///
 /// It leaves 3 s of the 5 s freshness bound for the poll and its retries.
@@ -48,6 +55,29 @@
     relays(&me.failure_domain, members).contains(&&me.vm)
 }
 
+/// The members that `me` pulls from over time: up to [`NEIGHBOURS_PER_TIER`]
+/// in the own failure domain, as many in other domains of the own region, and
+/// as many in other regions.
+///
+/// The choice is by rendezvous hashing with the name of `me`: agents choose
+/// independently, and a change of the list replaces only members that left
+/// and few others. In a small fleet, it is everyone else.
+pub fn neighbours<'a>(me: &Member, members: &'a [Member]) -> Vec<&'a Member> {
+    let seed = rendezvous::score(0, me.vm.as_str());
+    let mut chosen = Vec::new();
+    for tier in TIERS {
+        let mut scored: Vec<(u64, &Member)> = members
+            .iter()
+            .filter(|m| m.vm != me.vm && tier(me, m))
+            .map(|m| (rendezvous::score(seed, m.vm.as_str()), m))
+            .collect();
+        scored.sort_by(|(a, x), (b, y)| b.cmp(a).then_with(|| x.vm.cmp(&y.vm)));
+        let highest = scored.into_iter().take(NEIGHBOURS_PER_TIER);
+        chosen.extend(highest.map(|(_, m)| m));
+    }
+    chosen
+}
+
 /// The peers to pull from in one round: up to three, all different, without `me`.
 ///
 /// The first is in the own failure domain, the second in another domain of
@@ -56,19 +86,14 @@
 /// the same peers; different VMs should use different seeds.
 pub fn pull_peers(me: &Member, members: &[Member], round: u64, seed: u64) -> Vec<VmName> {
     let seed = rendezvous::score(seed, &format!("{}/{round}", me.vm));
-    let mut chosen: Vec<VmName> = Vec::with_capacity(3);
-    let tiers: [&dyn Fn(&Member) -> bool; 3] = [
-        &|m| m.failure_domain == me.failure_domain,
-        &|m| m.region == me.region && m.failure_domain != me.failure_domain,
-        &|m| m.region != me.region,
-    ];
-    for tier in tiers {
+    let mut chosen: Vec<VmName> = Vec::with_capacity(TIERS.len());
+    for tier in TIERS {
         let peer = pick(members, seed, |m| {
-            m.vm != me.vm && !chosen.contains(&m.vm) && tier(m)
+            m.vm != me.vm && !chosen.contains(&m.vm) && tier(me, m)
         });
         chosen.extend(peer);
     }
-    while chosen.len() < tiers.len() {
+    while chosen.len() < TIERS.len() {
         let Some(peer) = pick(members, seed, |m| m.vm != me.vm && !chosen.contains(&m.vm)) else {
             break;
         };
@@ -114,6 +139,13 @@
     }
 }
 
+/// How near the second member is to the first one, the nearest first.
+const TIERS: [fn(&Member, &Member) -> bool; 3] = [
+    |me, m| m.failure_domain == me.failure_domain,
+    |me, m| m.region == me.region && m.failure_domain != me.failure_domain,
+    |me, m| m.region != me.region,
+];
+
 fn pick(members: &[Member], seed: u64, accept: impl Fn(&Member) -> bool) -> Option<VmName> {
     members
         .iter()
--- a/crates/filbertgrade/examples/agents_at_scale.rs
+++ b/crates/filbertgrade/examples/agents_at_scale.rs
@@ -32,6 +32,7 @@
 use filbertgrade_standins::platform::{PlatformCounts, PlatformServer};
 use futures::StreamExt;
 use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// VMs, failure domains and regions of the target.
 const TARGET_VMS: usize = 3_500;
@@ -76,7 +77,15 @@
         return runtime.block_on(serve_store(address));
     }
     let options = Options::parse(&args)?;
-    runtime.block_on(measure(&options))
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        // Leaving `measure` ends the processes that it started.
+        tokio::select! {
+            result = measure(&options) => result,
+            _ = terminate.recv() => bail!("terminated"),
+            _ = tokio::signal::ctrl_c() => bail!("interrupted"),
+        }
+    })
 }
 
 struct Options {
@@ -273,7 +282,8 @@
 
 impl Fleet {
     async fn start(options: &Options, count: usize, run: usize) -> Result<Self> {
-        let third = u8::try_from(run % 200)?;
+        // Runs with different seeds may go on at the same time.
+        let third = u8::try_from((options.seed as usize * 10 + run) % 200)?;
         let store_address = SocketAddr::new(Ipv4Addr::new(127, 60, 250, third + 1).into(), 6000);
         let store = StoreProcess::start(store_address)?;
         let platform = HttpPlatform::new(store_address, None);
--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -58,6 +58,11 @@
     }
 }
 
+/// Reports whether `vm` is one of the `live` VMs that try to hold the lease.
+pub(super) fn is_candidate<'a>(vm: &VmName, live: impl Iterator<Item = &'a VmRecord>) -> bool {
+    rendezvous::top(LEASE, live.map(|vm| &vm.name), CANDIDATES).contains(&vm)
+}
+
 struct Allocator {
     agent: Arc<Agent>,
     lease: Lease,
@@ -70,10 +75,7 @@
 
 impl Allocator {
     fn is_candidate(&self) -> bool {
-        let state = self.agent.state();
-        let live = state.vms.iter().filter(|vm| vm.is_live());
-        let candidates = rendezvous::top(LEASE, live.map(|vm| &vm.name), CANDIDATES);
-        candidates.contains(&&self.agent.settings.vm)
+        self.agent.state().place.allocator_candidate
     }
 
     async fn follow_lease(&mut self) {
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbertgrade_coord::dissemination::Member;
+use filbertgrade_coord::dissemination::{self, Member};
 use filbertgrade_coord::freshness::FreshnessTracker;
 use filbertgrade_coord::names::RegionName;
 use filbertgrade_coord::versioned::{Applied, MalformedError, VersionedMap};
@@ -71,6 +71,55 @@
     pub(crate) freshness: FreshnessTracker,
     /// VMs of the platform's list; kept in step with `objects`.
     pub(crate) vms: Vec<VmRecord>,
+    /// What follows from `vms`; kept in step with it.
+    pub(crate) place: Place,
+}
+
+/// The agent's place among the VMs of the platform's list.
+///
+/// Finding it takes time in proportion to the list, so it is kept until the
+/// list changes.
+#[derive(Debug, Default)]
+pub(crate) struct Place {
+    /// VMs to pull from.
+    pub(crate) neighbours: Vec<VmRecord>,
+    /// The agent watches the store.
+    pub(crate) relay: bool,
+    /// The agent tries to hold the allocator lease.
+    pub(crate) allocator_candidate: bool,
+    /// Regions with live VMs.
+    live_regions: BTreeSet<RegionName>,
+}
+
+impl Place {
+    fn find(me: &Member, vms: &[VmRecord]) -> Self {
+        let members: Vec<Member> = vms.iter().map(Member::from).collect();
+        let chosen: BTreeSet<_> = dissemination::neighbours(me, &members)
+            .into_iter()
+            .map(|member| &member.vm)
+            .collect();
+        let live = || vms.iter().filter(|vm| vm.is_live());
+        Self {
+            neighbours: vms
+                .iter()
+                .filter(|vm| chosen.contains(&vm.name))
+                .cloned()
+                .collect(),
+            relay: dissemination::is_relay(me, &members),
+            allocator_candidate: allocator::is_candidate(&me.vm, live()),
+            live_regions: live().map(|vm| vm.region.clone()).collect(),
+        }
+    }
+}
+
+impl From<&VmRecord> for Member {
+    fn from(vm: &VmRecord) -> Self {
+        Self {
+            vm: vm.name.clone(),
+            region: vm.region.clone(),
+            failure_domain: vm.failure_domain.clone(),
+        }
+    }
 }
 
 impl Agent {
@@ -79,6 +128,7 @@
             objects: VersionedMap::new(CHANGE_LOG),
             freshness: FreshnessTracker::new(settings.region.clone()),
             vms: Vec::new(),
+            place: Place::default(),
         };
         Self {
             settings,
@@ -104,6 +154,7 @@
         if let Applied::Advanced(names) = &applied {
             if names.iter().any(|name| name.starts_with("vms/")) {
                 state.vms = listed_vms(&state.objects);
+                state.place = Place::find(&self.me(), &state.vms);
             }
             self.revision.send_replace(state.objects.revision());
         }
@@ -120,28 +171,10 @@
 }
 
 impl State {
-    /// The VMs of the platform's list as members of the exchange.
-    pub(crate) fn members(&self) -> Vec<Member> {
-        self.vms
-            .iter()
-            .map(|vm| Member {
-                vm: vm.name.clone(),
-                region: vm.region.clone(),
-                failure_domain: vm.failure_domain.clone(),
-            })
-            .collect()
-    }
-
     /// How much longer the state may be relied on; zero when isolated.
     pub(crate) fn valid_for(&self, now: Instant) -> Duration {
-        let regions: BTreeSet<RegionName> = self
-            .vms
-            .iter()
-            .filter(|vm| vm.is_live())
-            .map(|vm| vm.region.clone())
-            .collect();
         self.freshness
-            .freshness(now, self.objects.revision(), &regions)
+            .freshness(now, self.objects.revision(), &self.place.live_regions)
             .valid_until()
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::dissemination::pull_peers;
+use filbertgrade_coord::dissemination::{Member, pull_peers};
 use filbertgrade_coord::freshness::RegionAges;
 use filbertgrade_coord::names::VmName;
 
@@ -30,10 +30,11 @@
         ticks.tick().await;
         let peers = {
             let state = agent.state();
-            let names = pull_peers(&agent.me(), &state.members(), round, seed);
-            links.retain(|name, _| state.vms.iter().any(|vm| vm.name == *name));
-            state
-                .vms
+            let neighbours = &state.place.neighbours;
+            let members: Vec<Member> = neighbours.iter().map(Member::from).collect();
+            let names = pull_peers(&agent.me(), &members, round, seed);
+            links.retain(|name, _| neighbours.iter().any(|vm| vm.name == *name));
+            neighbours
                 .iter()
                 .filter(|vm| names.contains(&vm.name))
                 .cloned()
--- a/crates/filbertgrade/src/process/agent/store.rs
+++ b/crates/filbertgrade/src/process/agent/store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::dissemination::{POLL_AFTER, StorePoll, is_relay, store_poll};
+use filbertgrade_coord::dissemination::{POLL_AFTER, StorePoll, store_poll};
 use filbertgrade_coord::versioned::Applied;
 
 use super::Agent;
@@ -59,8 +59,7 @@
 fn next_step(agent: &Agent, started: Instant, polled: Option<(Instant, u32)>) -> Step {
     let now = Instant::now();
     let state = agent.state();
-    let members = state.members();
-    if members.is_empty() || is_relay(&agent.me(), &members) {
+    if state.vms.is_empty() || state.place.relay {
         return Step::Watch;
     }
     let confirmed_at = state.freshness.newest_confirmation().unwrap_or(started);
