Ask one peer of each round for the evidence of all regions

Cause: a reply to a pull carries evidence of all 20 regions of the target, about 530 bytes, whether or not anything changed. Twelve pulls and as many answers each second make 12.8 KB/s of frames, above the 11 KB/s that a node may spend on control.

Ruled out: fewer pulls. Confirmations and changes spread with them.

Conclusion: the newest confirmation travels in every reply, the evidence of all regions in every third one.

--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -48,18 +48,22 @@
 fn pull_reply(agent: &Agent, pull: &Pull) -> PullReply {
     let state = agent.state();
     let held = state.objects.revision();
+    let mut ages = state.freshness.ages(Instant::now(), held);
+    if pull.newest_confirmation_only {
+        ages = newest_confirmation(ages).into_iter().collect();
+    }
     PullReply {
         delta: delta_for(&state.objects, pull.revision),
-        regions: state
-            .freshness
-            .ages(Instant::now(), held)
-            .into_iter()
-            .map(RegionEvidence::from)
-            .collect(),
+        regions: ages.into_iter().map(RegionEvidence::from).collect(),
         revision: held,
     }
 }
 
+fn newest_confirmation(ages: Vec<RegionAges>) -> Option<RegionAges> {
+    let confirmed = ages.into_iter().filter(|ages| ages.confirmed.is_some());
+    confirmed.min_by_key(|ages| ages.confirmed.map(|(age, _)| age))
+}
+
 fn status(agent: &Agent) -> StatusReply {
     let age = lock(&agent.reported_at).map(|at| at.elapsed());
     let connected = age.is_some_and(|age| age <= ENTRY_SILENT_AFTER);
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -17,6 +17,11 @@
 /// Time between two rounds.
 const PULL_PERIOD: Duration = Duration::from_millis(250);
 
+/// Peers of one round. One of them in turn is asked for the evidence of all
+/// regions, which is most of a reply in a large fleet; the others give the
+/// newest confirmation, on which freshness depends while the store answers.
+const PEERS: u64 = 3;
+
 /// Time for one answer; a peer in another region answers within about 110 ms.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,9 +45,10 @@
                 .cloned()
                 .collect::<Vec<_>>()
         };
-        for peer in peers {
+        for (n, peer) in (0..).zip(peers) {
             let link = link_to(&agent, &mut links, &peer);
-            tokio::spawn(pull_once(Arc::clone(&agent), link, peer));
+            let all_regions = n == round % PEERS;
+            tokio::spawn(pull_once(Arc::clone(&agent), link, peer, all_regions));
         }
     }
 }
@@ -63,11 +69,12 @@
     link
 }
 
-async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord) {
+async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord, all_regions: bool) {
     let sent = Instant::now();
     let pull = Pull {
         vm: agent.settings.vm.to_string(),
         revision: *agent.revision.borrow(),
+        newest_confirmation_only: !all_regions,
     };
     match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
         Ok(Body::PullReply(reply)) => take_reply(&agent, reply, &peer, sent),
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -153,6 +153,9 @@
     /// Revision that the asking agent holds.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// The reply needs only the evidence with the newest confirmation.
+    #[prost(bool, tag = "8")]
+    pub newest_confirmation_only: bool,
 }
 
 /// Newest evidence from one region. Ages count back from sending.
