--- a/crates/filbertgrade/examples/agents_at_scale.rs
+++ b/crates/filbertgrade/examples/agents_at_scale.rs
@@ -565,7 +565,8 @@
 
     /// How much longer the agent's state may be relied on.
     async fn valid_ms(&self) -> Result<f64> {
-        let hello = Hello { revision: 0 };
+        // No delta comes for a revision that is never reached.
+        let hello = Hello { revision: u64::MAX };
         match self
             .link
             .call(Body::Hello(hello), Duration::from_secs(5))
