Stop a look-up at the VMs that its answer names

Cause: a look-up walked the whole VM list once for each region and kept every live VM, although an answer names four.

Ruled out: the search of the client blocks, which grows with the blocks in the configuration, not with the VMs.

Conclusion: one walk is left for each region that is needed to name four VMs, usually one. An index by region would remove it.

--- a/crates/filbertgrade/src/process/entry/lookup.rs
+++ b/crates/filbertgrade/src/process/entry/lookup.rs
@@ -36,6 +36,10 @@
     let region = client.and_then(|client| region_of(view, client));
     let mut vms = Vec::new();
     for region in view.region_order(region.as_ref()) {
+        // Each region costs a walk over the whole VM list.
+        if vms.len() >= MOST_VMS {
+            break;
+        }
         let mut of_region: Vec<&VmRecord> = view
             .vms
             .values()
