--- a/crates/filbertgrade-coord/tests/basics.rs
+++ b/crates/filbertgrade-coord/tests/basics.rs
@@ -7,7 +7,8 @@
 
 use filbertgrade_coord::bucket::{Part, TokenBucket};
 use filbertgrade_coord::dissemination::{
-    Member, POLL_AFTER, StorePoll, is_relay, pull_peers, store_poll,
+    Member, NEIGHBOURS_PER_TIER, POLL_AFTER, StorePoll, is_relay, neighbours, pull_peers,
+    store_poll,
 };
 use filbertgrade_coord::names::{FailureDomainName, RegionName, TeamName, VmName};
 use filbertgrade_coord::rendezvous::{owner, top};
@@ -158,6 +159,67 @@
     assert!(!chosen.contains(&fleet[0].vm));
 }
 
+// Guards against links to more VMs as the fleet grows, and against a tier
+// without any.
+#[test]
+fn neighbours_do_not_grow_with_the_fleet() {
+    for domains in [72, 144] {
+        let fleet: Vec<Member> = (0..domains * 48)
+            .map(|i| Member {
+                vm: VmName::try_from(format!("vm-{i}").as_str()).unwrap(),
+                region: RegionName::try_from(format!("r-{}", i % domains % 20).as_str()).unwrap(),
+                failure_domain: FailureDomainName::try_from(format!("d-{}", i % domains).as_str())
+                    .unwrap(),
+            })
+            .collect();
+        let me = &fleet[0];
+        let chosen = neighbours(me, &fleet);
+        let of_domain = |m: &&&Member| m.failure_domain == me.failure_domain;
+        let of_region =
+            |m: &&&Member| m.region == me.region && m.failure_domain != me.failure_domain;
+        let elsewhere = |m: &&&Member| m.region != me.region;
+        assert_eq!(chosen.iter().filter(of_domain).count(), NEIGHBOURS_PER_TIER);
+        assert_eq!(chosen.iter().filter(of_region).count(), NEIGHBOURS_PER_TIER);
+        assert_eq!(chosen.iter().filter(elsewhere).count(), NEIGHBOURS_PER_TIER);
+        assert!(chosen.iter().all(|m| m.vm != me.vm));
+    }
+}
+
+// Guards against VMs of a small fleet that never pull from each other.
+#[test]
+fn small_fleets_are_all_neighbours() {
+    let fleet = &fleet()[..10];
+    for me in fleet {
+        assert_eq!(neighbours(me, fleet).len(), 9);
+    }
+}
+
+// Guards against an agent that few others or too many others pull from, and
+// against new links to most neighbours when one VM leaves.
+#[test]
+fn neighbours_spread_over_the_fleet_and_stay() {
+    let fleet: Vec<Member> = (0..960)
+        .map(|i| Member {
+            vm: VmName::try_from(format!("vm-{i}").as_str()).unwrap(),
+            region: RegionName::try_from(format!("r-{}", i % 20 % 5).as_str()).unwrap(),
+            failure_domain: FailureDomainName::try_from(format!("d-{}", i % 20).as_str()).unwrap(),
+        })
+        .collect();
+    let mut asked: BTreeMap<&VmName, usize> = BTreeMap::new();
+    for me in &fleet {
+        let before = neighbours(me, &fleet);
+        let after = neighbours(me, &fleet[..fleet.len() - 1]);
+        let new = after.iter().filter(|m| !before.contains(m)).count();
+        assert!(new <= 1, "{new} new neighbours");
+        for m in before {
+            *asked.entry(&m.vm).or_default() += 1;
+        }
+    }
+    assert_eq!(asked.len(), fleet.len(), "some agents are never asked");
+    let most = asked.values().max().unwrap();
+    assert!(*most <= 6 * NEIGHBOURS_PER_TIER, "{most} agents ask one");
+}
+
 // Guards against polls in step, polls while confirmations come, and pauses without bound.
 #[test]
 fn store_polls_are_jittered_and_back_off() {
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -2,6 +2,7 @@
 //! feeds the entry of its VM.
 
 mod allocator;
+mod dump;
 mod peers;
 mod pull;
 mod store;
@@ -14,15 +15,16 @@
 use bytes::Bytes;
 use filbertgrade_coord::dissemination::{self, Member};
 use filbertgrade_coord::freshness::FreshnessTracker;
-use filbertgrade_coord::names::RegionName;
+use filbertgrade_coord::names::{RegionName, VmName};
 use filbertgrade_coord::versioned::{Applied, MalformedError, VersionedMap};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::connection::serve_frames;
 use crate::platform::{HttpPlatform, Platform, Revision};
+use crate::process::operator;
 use crate::process::settings::NodeSettings;
-use crate::version::VmRecord;
+use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::Report;
 
 /// Longest wait before the entry's request for state is answered.
@@ -31,6 +33,11 @@
 /// the freshness bound.
 pub const FEED_WAIT: Duration = Duration::from_millis(250);
 
+/// Time from the first state until this agent vouches for it. The state may
+/// come from a replica or a peer that is behind, and in this time the agent
+/// pulls from every kind of peer four times.
+const JOIN_WAIT: Duration = Duration::from_secs(1);
+
 /// Changes that an agent keeps for peers that are behind. A peer that missed
 /// more gets a snapshot.
 const CHANGE_LOG: usize = 4096;
@@ -55,6 +62,13 @@
     pub(crate) settings: NodeSettings,
     pub(crate) platform: Arc<dyn Platform>,
     state: Mutex<State>,
+    /// Agents that pulled while there was no VM list, the newest first.
+    pub(crate) pullers: Mutex<Vec<VmRecord>>,
+    /// Deltas to peers and to the entry that take more than one page.
+    pub(crate) outgoing: Mutex<OutgoingDeltas>,
+    /// Held while a delta of more than one page comes in, so that the same
+    /// objects do not come from several peers at once.
+    pub(crate) transfer: tokio::sync::Mutex<()>,
     /// Revision held; tasks wait for it to grow.
     pub(crate) revision: watch::Sender<Revision>,
     /// Last report of the entry.
@@ -73,6 +87,10 @@
     pub(crate) vms: Vec<VmRecord>,
     /// What follows from `vms`; kept in step with it.
     pub(crate) place: Place,
+    /// When this agent first held anything.
+    held_since: Option<Instant>,
+    /// Name of the own VM.
+    vm: VmName,
 }
 
 /// The agent's place among the VMs of the platform's list.
@@ -93,7 +111,7 @@
 
 impl Place {
     fn find(me: &Member, vms: &[VmRecord]) -> Self {
-        let members: Vec<Member> = vms.iter().map(Member::from).collect();
+        let members: Vec<Member> = vms.iter().filter_map(member).collect();
         let chosen: BTreeSet<_> = dissemination::neighbours(me, &members)
             .into_iter()
             .map(|member| &member.vm)
@@ -105,23 +123,13 @@
                 .filter(|vm| chosen.contains(&vm.name))
                 .cloned()
                 .collect(),
-            relay: dissemination::is_relay(me, &members),
+            relay: members.is_empty() || dissemination::is_relay(me, &members),
             allocator_candidate: allocator::is_candidate(&me.vm, live()),
             live_regions: live().map(|vm| vm.region.clone()).collect(),
         }
     }
 }
 
-impl From<&VmRecord> for Member {
-    fn from(vm: &VmRecord) -> Self {
-        Self {
-            vm: vm.name.clone(),
-            region: vm.region.clone(),
-            failure_domain: vm.failure_domain.clone(),
-        }
-    }
-}
-
 impl Agent {
     fn new(settings: NodeSettings, platform: Arc<dyn Platform>) -> Self {
         let state = State {
@@ -129,11 +137,16 @@
             freshness: FreshnessTracker::new(settings.region.clone()),
             vms: Vec::new(),
             place: Place::default(),
+            held_since: None,
+            vm: settings.vm.clone(),
         };
         Self {
             settings,
             platform,
             state: Mutex::new(state),
+            pullers: Mutex::default(),
+            outgoing: Mutex::default(),
+            transfer: tokio::sync::Mutex::default(),
             revision: watch::Sender::new(0),
             report: Mutex::new(None),
             reported_at: Mutex::new(None),
@@ -141,7 +154,7 @@
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Changes the object map and wakes those that wait for a newer revision.
@@ -156,7 +169,10 @@
                 state.vms = listed_vms(&state.objects);
                 state.place = Place::find(&self.me(), &state.vms);
             }
-            self.revision.send_replace(state.objects.revision());
+            state.held_since.get_or_insert_with(Instant::now);
+            let held = state.objects.revision();
+            state.freshness.hold(held);
+            self.revision.send_replace(held);
         }
         Ok(applied)
     }
@@ -171,12 +187,20 @@
 }
 
 impl State {
-    /// How much longer the state may be relied on; zero when isolated.
-    pub(crate) fn valid_for(&self, now: Instant) -> Duration {
-        self.freshness
-            .freshness(now, self.objects.revision(), &self.place.live_regions)
-            .valid_until()
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    /// How much longer the state may be relied on; zero when isolated. `None`
+    /// while this agent knows too little to judge.
+    pub(crate) fn valid_for(&self, now: Instant) -> Option<Duration> {
+        let alone = !self.vms.iter().any(|vm| vm.is_live() && vm.name != self.vm);
+        let held_since = self.held_since?;
+        if !alone && now < held_since + JOIN_WAIT {
+            return None;
+        }
+        let held = self.objects.revision();
+        let until = self
+            .freshness
+            .freshness(now, held, &self.place.live_regions, alone)
+            .valid_until();
+        Some(until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now)))
     }
 }
 
@@ -193,11 +217,17 @@
     log::info!("event=agent_started vm={} address={address}", settings.vm);
     let platform = Arc::new(HttpPlatform::new(settings.store, Some(settings.address)));
     let agent = Arc::new(Agent::new(settings, platform));
+    let address = SocketAddr::new(agent.settings.address, agent.settings.ports.agent_operator);
+    let operators = operator::listen(address)
+        .await
+        .map_err(|source| AgentError::Listen { address, source })?;
+    operator::record_metrics();
+    tokio::spawn(dump::operator_port(&agent).serve(operators));
     tokio::spawn(store::follow_store(Arc::clone(&agent)));
     tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
     tokio::spawn(allocator::run(Arc::clone(&agent)));
-    serve_frames(listener, move |_peer, body| {
-        peers::answer(Arc::clone(&agent), body)
+    serve_frames(listener, move |peer, body| {
+        peers::answer(Arc::clone(&agent), peer, body)
     })
     .await;
     Ok(())
@@ -209,3 +239,16 @@
         .filter_map(|(_, entry)| VmRecord::decode(&entry.value))
         .collect()
 }
+
+/// A VM that stays, as a member of the exchange.
+fn member(vm: &VmRecord) -> Option<Member> {
+    vm.is_live().then(|| Member {
+        vm: vm.name.clone(),
+        region: vm.region.clone(),
+        failure_domain: vm.failure_domain.clone(),
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -9,10 +9,11 @@
 use filbertgrade_coord::freshness::RegionAges;
 use filbertgrade_coord::names::VmName;
 
-use super::Agent;
+use super::{Agent, lock, member};
 use crate::connection::PeerLink;
-use crate::version::{VmRecord, apply_delta};
-use crate::wire::{Body, Pull, PullReply};
+use crate::logfmt;
+use crate::version::{IncomingDelta, VmRecord, apply_delta};
+use crate::wire::{Body, Delta, Pull, PullReply};
 
 /// Time between two rounds.
 const PULL_PERIOD: Duration = Duration::from_millis(250);
@@ -35,12 +36,16 @@
         ticks.tick().await;
         let peers = {
             let state = agent.state();
-            let neighbours = &state.place.neighbours;
-            let members: Vec<Member> = neighbours.iter().map(Member::from).collect();
+            let vms = if state.vms.is_empty() {
+                lock(&agent.pullers).clone()
+            } else {
+                state.place.neighbours.clone()
+            };
+            drop(state);
+            let members: Vec<Member> = vms.iter().filter_map(member).collect();
             let names = pull_peers(&agent.me(), &members, round, seed);
-            links.retain(|name, _| neighbours.iter().any(|vm| vm.name == *name));
-            neighbours
-                .iter()
+            links.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
+            vms.iter()
                 .filter(|vm| names.contains(&vm.name))
                 .cloned()
                 .collect::<Vec<_>>()
@@ -69,25 +74,63 @@
     link
 }
 
+/// Pulls once, or until a delta of several pages is complete.
 async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord, all_regions: bool) {
-    let sent = Instant::now();
-    let pull = Pull {
-        vm: agent.settings.vm.to_string(),
-        revision: *agent.revision.borrow(),
-        newest_confirmation_only: !all_regions,
-    };
-    match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
-        Ok(Body::PullReply(reply)) => take_reply(&agent, reply, &peer, sent),
-        Ok(_) => log::warn!("event=pull_misanswered peer={}", peer.name),
-        Err(error) => log::debug!("event=pull_failed peer={} error=\"{error}\"", peer.name),
+    let mut incoming = IncomingDelta::default();
+    let mut transfer = None;
+    loop {
+        let sent = Instant::now();
+        let pull = Pull {
+            vm: agent.settings.vm.to_string(),
+            revision: *agent.revision.borrow(),
+            resume: incoming.resume(),
+            region: agent.settings.region.to_string(),
+            failure_domain: agent.settings.failure_domain.to_string(),
+            newest_confirmation_only: !all_regions,
+            one_page_only: transfer.is_none() && agent.transfer.try_lock().is_err(),
+        };
+        match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
+            Ok(Body::PullReply(reply)) => take_reply(&agent, &mut incoming, reply, &peer, sent),
+            Ok(_) => {
+                log::warn!("event=pull_misanswered peer={}", peer.name);
+                return;
+            }
+            Err(error) => {
+                log::debug!(
+                    "event=pull_failed peer={} error={}",
+                    peer.name,
+                    logfmt::value(&error)
+                );
+                return;
+            }
+        }
+        if incoming.resume().is_none() {
+            return;
+        }
+        if transfer.is_none() {
+            transfer = agent.transfer.try_lock().ok();
+        }
+        if transfer.is_none() {
+            return;
+        }
     }
 }
 
-fn take_reply(agent: &Agent, reply: PullReply, peer: &VmRecord, sent: Instant) {
-    if let Some(delta) = reply.delta
-        && let Err(error) = agent.advance(|objects| apply_delta(objects, delta))
+fn take_reply(
+    agent: &Agent,
+    incoming: &mut IncomingDelta,
+    reply: PullReply,
+    peer: &VmRecord,
+    sent: Instant,
+) {
+    if let Some(page) = reply.delta
+        && let Err(error) = take_page(agent, incoming, page)
     {
-        log::warn!("event=pull_rejected peer={} error=\"{error}\"", peer.name);
+        log::warn!(
+            "event=pull_rejected peer={} error={}",
+            peer.name,
+            logfmt::value(&error)
+        );
         return;
     }
     let ages: Vec<RegionAges> = reply
@@ -98,4 +141,17 @@
     let mut state = agent.state();
     state.freshness.hear(sent, &peer.region, reply.revision);
     state.freshness.absorb(sent, &ages);
+    let held = state.objects.revision();
+    state.freshness.hold(held);
+}
+
+fn take_page(
+    agent: &Agent,
+    incoming: &mut IncomingDelta,
+    page: Delta,
+) -> Result<(), Box<dyn std::error::Error>> {
+    if let Some(delta) = incoming.take(page)? {
+        agent.advance(|objects| apply_delta(objects, delta))?;
+    }
+    Ok(())
 }
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::links::PeerLinks;
+use crate::logfmt;
 use crate::request::{Cause, Refusal};
 use crate::version::InForce;
 use crate::wire::{Body, Borrow, Loan};
@@ -20,6 +21,13 @@
 /// Longest wait for a token. A longer queue would only delay the refusal.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which a queue that was never empty counts as standing.
+const STANDING_AFTER: Duration = Duration::from_secs(1);
+
+/// Arrivals for each admission above which a standing queue is the team's own
+/// doing. Loans that are still moving leave a team within its rate below it.
+const OVERLOADED: f64 = 1.5;
+
 /// Time between two rounds of a ledger that has demand or loans.
 const ROUND: Duration = Duration::from_millis(50);
 
@@ -56,7 +64,9 @@
     ledger: ShareLedger,
     /// Invariant: as many as the ledger counts as waiting, in order of arrival.
     queue: VecDeque<Waiter>,
-    next_waiter: u64,
+    next_number: u64,
+    /// Since when the queue has not been empty.
+    queued_since: Option<Instant>,
     /// Counts asks, so that each goes to the next peers in turn.
     asks: usize,
 }
@@ -125,7 +135,7 @@
                     return Ok(());
                 }
                 Decision::Refused(refusal) => return Err(refusal_of(refusal)),
-                Decision::Wait { .. } => state.enqueue(),
+                Decision::Wait { .. } => state.enqueue(now),
             }
         };
         let guard = WaitGuard {
@@ -226,7 +236,8 @@
             state: Mutex::new(ShareState {
                 ledger,
                 queue: VecDeque::new(),
-                next_waiter: 0,
+                next_number: 0,
+                queued_since: None,
                 asks: 0,
             }),
             wake: Notify::new(),
@@ -251,10 +262,11 @@
 }
 
 impl ShareState {
-    fn enqueue(&mut self) -> (u64, oneshot::Receiver<Result<(), AdmissionRefusal>>) {
+    fn enqueue(&mut self, now: Instant) -> (u64, oneshot::Receiver<Result<(), AdmissionRefusal>>) {
+        self.queued_since.get_or_insert(now);
         let (tx, rx) = oneshot::channel();
-        let number = self.next_waiter;
-        self.next_waiter += 1;
+        let number = self.next_number;
+        self.next_number += 1;
         self.queue.push_back(Waiter { number, tx });
         (number, rx)
     }
@@ -268,14 +280,37 @@
                 Decision::Refused(refusal) => Err(refusal),
                 Decision::Wait { retry_at } => return retry_at,
             };
-            if let Some(waiter) = self.queue.pop_front() {
+            if let Some(waiter) = self.next_waiter(now) {
                 // A request that gave up at this very moment loses its token.
                 let _ = waiter.tx.send(verdict);
             }
         }
+        self.note_empty();
         None
     }
 
+    /// The newest request of a standing queue of an overloaded team, else the
+    /// oldest.
+    ///
+    /// A team over its rate keeps its queue full. In order of arrival each of
+    /// its requests would wait as long as requests may; the newest first, most
+    /// of those that get a token are on time.
+    fn next_waiter(&mut self, now: Instant) -> Option<Waiter> {
+        let since = self.queued_since.unwrap_or(now);
+        let is_standing = now.saturating_duration_since(since) > STANDING_AFTER;
+        if is_standing && self.ledger.overload(now) > OVERLOADED {
+            self.queue.pop_back()
+        } else {
+            self.queue.pop_front()
+        }
+    }
+
+    fn note_empty(&mut self) {
+        if self.queue.is_empty() {
+            self.queued_since = None;
+        }
+    }
+
     fn is_active(&mut self, now: Instant) -> bool {
         let snapshot = self.ledger.snapshot(now);
         !snapshot.loans_in.is_empty() || snapshot.waiting > 0 || snapshot.demand > 0.1
@@ -295,6 +330,7 @@
         if let Some(position) = position {
             state.queue.remove(position);
             state.ledger.abandon(Instant::now());
+            state.note_empty();
         }
     }
 }
@@ -366,7 +402,10 @@
             match link.call(body, PEER_TIMEOUT).await {
                 Ok(Body::Loan(loan)) => take_loan(&share, &ask, loan),
                 Ok(_) => {}
-                Err(error) => log::debug!("event=borrow_failed peer={peer} error=\"{error}\""),
+                Err(error) => log::debug!(
+                    "event=borrow_failed peer={peer} error={}",
+                    logfmt::value(&error)
+                ),
             }
         });
     }
@@ -381,7 +420,7 @@
             share.wake.notify_one();
         }
         Ok(None) => {}
-        Err(error) => log::warn!("event=loan_malformed error=\"{error}\""),
+        Err(error) => log::warn!("event=loan_malformed error={}", logfmt::value(&error)),
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -3,7 +3,9 @@
 mod admission;
 mod answer;
 mod caller;
+mod caller_io;
 mod carry;
+mod dump;
 mod feed;
 mod links;
 mod lookup;
@@ -11,6 +13,7 @@
 mod shutdown;
 mod slots;
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -25,6 +28,7 @@
 use self::slots::Slots;
 use crate::connection::{Pool, serve_frames};
 use crate::platform::HttpPlatform;
+use crate::process::operator;
 use crate::process::settings::NodeSettings;
 use crate::process::tasks::Tasks;
 use crate::request::{Guard, RetryBudget};
@@ -37,9 +41,6 @@
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum EntryError {
-    /// Signals cannot be received.
-    #[error("cannot receive signals: {0}")]
-    Signals(std::io::Error),
     /// An address cannot be bound.
     #[error("cannot listen on {address}: {source}")]
     Listen {
@@ -122,25 +123,34 @@
     }
 }
 
-/// Runs the entry until the process is told to stop, and stops gracefully.
+/// Runs the entry until `stop` resolves, then stops gracefully.
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound, or signals cannot be received.
-pub async fn run(settings: NodeSettings) -> Result<(), EntryError> {
+/// Fails when an address cannot be bound.
+pub async fn run(
+    settings: NodeSettings,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), EntryError> {
     let address = SocketAddr::new(settings.address, settings.ports.caller);
-    let signals = shutdown::Signals::new().map_err(EntryError::Signals)?;
     let listener = listen(address).await?;
     let peer_address = SocketAddr::new(settings.address, settings.ports.entry_peer);
     let peer_listener = listen(peer_address).await?;
+    let operators = listen(SocketAddr::new(
+        settings.address,
+        settings.ports.entry_operator,
+    ))
+    .await?;
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
+    operator::record_metrics();
+    tokio::spawn(dump::operator_port(&entry).serve(operators));
     tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
     tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
     tokio::spawn(close_expired(Arc::clone(&entry)));
     let close = watch::Sender::new(false);
-    let stop = shutdown::leave_on_signal(&entry, signals);
-    caller::serve(&entry, listener, &close.subscribe(), stop).await;
+    let leave = shutdown::leave_after(&entry, stop);
+    caller::serve(&entry, listener, &close.subscribe(), leave).await;
     shutdown::finish(&entry, &close).await;
     Ok(())
 }
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -3,5 +3,7 @@
 pub mod agent;
 pub mod command;
 pub mod entry;
+pub(crate) mod operator;
 pub mod settings;
+pub mod signals;
 pub(crate) mod tasks;
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -84,6 +84,23 @@
     /// Revision that the entry already holds.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The next page of a delta that the entry holds in part.
+    #[prost(message, optional, tag = "2")]
+    pub resume: Option<Resume>,
+}
+
+/// Asks for the next page of a delta.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Resume {
+    /// Revision that the delta starts from.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Revision that the delta leads to.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// Objects of the delta that have arrived.
+    #[prost(uint64, tag = "3")]
+    pub next: u64,
 }
 
 /// One object of the platform as it is passed on; no value marks a removal.
@@ -100,7 +117,8 @@
     pub value: Option<bytes::Bytes>,
 }
 
-/// A change of state from one revision to a later one.
+/// A change of state from one revision to a later one, or one page of it. The
+/// receiver holds revision `to` only once it has every page.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Delta {
     /// Revision that the receiver must hold, unless this is a snapshot.
@@ -115,6 +133,12 @@
     /// The objects are all that exist at `to`, so others are removed.
     #[prost(bool, tag = "4")]
     pub snapshot: bool,
+    /// Objects of the delta that come before those of this page.
+    #[prost(uint64, tag = "5")]
+    pub first: u64,
+    /// Objects of all pages together.
+    #[prost(uint64, tag = "6")]
+    pub total: u64,
 }
 
 /// State from the agent to the entry.
@@ -124,9 +148,13 @@
     #[prost(message, optional, tag = "1")]
     pub delta: Option<Delta>,
     /// How much longer the state may be relied on, in milliseconds from
-    /// sending; 0 when the VM is isolated.
-    #[prost(uint32, tag = "2")]
-    pub valid_ms: u32,
+    /// sending; 0 when the VM is isolated. Absent while the agent knows too
+    /// little to judge, as after a restart.
+    #[prost(uint32, optional, tag = "2")]
+    pub valid_ms: Option<u32>,
+    /// Revision that the agent holds, and that `valid_ms` is about.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// State from the entry to its agent.
@@ -153,6 +181,19 @@
     /// Revision that the asking agent holds.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// The next page of a delta that the asking agent holds in part.
+    #[prost(message, optional, tag = "3")]
+    pub resume: Option<Resume>,
+    /// A delta of more than one page is not wanted, because another one is on
+    /// its way to the asking agent.
+    #[prost(bool, tag = "4")]
+    pub one_page_only: bool,
+    /// Region of the asking VM.
+    #[prost(string, tag = "5")]
+    pub region: String,
+    /// Failure domain of the asking VM.
+    #[prost(string, tag = "6")]
+    pub failure_domain: String,
     /// The reply needs only the evidence with the newest confirmation.
     #[prost(bool, tag = "8")]
     pub newest_confirmation_only: bool,
@@ -176,6 +217,10 @@
     /// Revision that the store confirmed.
     #[prost(uint64, tag = "5")]
     pub confirmed_revision: u64,
+    /// Age of the newest answer of the store, whatever its revision, in
+    /// milliseconds.
+    #[prost(uint32, optional, tag = "6")]
+    pub reached_age_ms: Option<u32>,
 }
 
 /// Answer to [`Pull`].
@@ -342,6 +387,9 @@
     /// Endpoints that already refused this request.
     #[prost(string, repeated, tag = "7")]
     pub avoid: Vec<String>,
+    /// Ends the rest of endpoints that had a fault: no region has another one.
+    #[prost(bool, tag = "8")]
+    pub resting: bool,
 }
 
 /// The right to run one request on an endpoint.
@@ -420,7 +468,21 @@
     /// The permit.
     #[prost(message, optional, tag = "3")]
     pub permit: Option<PermitId>,
-    /// The endpoint refused the request.
-    #[prost(bool, tag = "4")]
-    pub refused: bool,
+    /// Why the endpoint did not run the request.
+    #[prost(enumeration = "EndpointFault", tag = "4")]
+    pub fault: i32,
+}
+
+/// Why an endpoint did not run a request that it had a slot for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum EndpointFault {
+    /// It ran the request, or the request was not sent.
+    None = 0,
+    /// It refused because all of its slots were busy.
+    Shed = 1,
+    /// It refused because it is draining.
+    Draining = 2,
+    /// No connection could be made.
+    Unreachable = 3,
 }
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -6,10 +6,15 @@
 )]
 
 #[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 
+mod bad_answers;
 mod bad_input;
 mod decisions;
+mod graceful_stop;
 mod http2;
+mod pool;
+mod random_faults;
 mod scenario;
 mod streaming;
