--- a/crates/filbertgrade/examples/agents_at_scale.rs
+++ b/crates/filbertgrade/examples/agents_at_scale.rs
@@ -246,6 +246,8 @@
     store: StoreProcess,
     platform: HttpPlatform,
     written: usize,
+    /// Of the last change.
+    revision: u64,
 }
 
 struct AgentProcess {
@@ -341,6 +343,7 @@
             store,
             platform,
             written: 0,
+            revision: 0,
         })
     }
 
@@ -357,7 +360,8 @@
         let name = format!("config/part/scale-{}", self.written % 64);
         let value = Bytes::from(format!("{:0VALUE_BYTES$}", self.written));
         let written = self.platform.put(&name, value, Condition::Always);
-        Ok(written.await?)
+        self.revision = written.await?;
+        Ok(self.revision)
     }
 
     /// Time from the store's answer to a write until the last agent holds it.
@@ -417,7 +421,10 @@
         let mut settled = Vec::new();
         while began.elapsed() < OUTAGE {
             tokio::time::sleep(Duration::from_millis(500)).await;
-            let answers = self.agents.iter().map(AgentProcess::valid_ms);
+            let answers = self
+                .agents
+                .iter()
+                .map(|agent| agent.valid_ms(self.revision));
             for answer in futures::future::join_all(answers).await {
                 let answer = answer?;
                 valid.push(answer);
@@ -575,11 +582,11 @@
         )
     }
 
-    /// How much longer the agent's state may be relied on.
-    async fn valid_ms(&self) -> Result<f64> {
-        // No delta comes for a revision that is never reached.
+    /// How much longer the agent's state may be relied on. The agent must have
+    /// held `revision`; one that it does not hold makes it isolated.
+    async fn valid_ms(&self, revision: u64) -> Result<f64> {
         let hello = Hello {
-            revision: u64::MAX,
+            revision,
             resume: None,
         };
         match self
