--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -7,6 +7,7 @@
 use filbertgrade_coord::freshness::RegionAges;
 
 use super::{Agent, FEED_WAIT, lock};
+use crate::connection::traffic;
 use crate::version::{OutgoingDeltas, VmRecord, VmState};
 use crate::wire::{Body, Feed, Hello, Pull, PullReply, RegionEvidence, Report, StatusReply};
 
@@ -106,6 +107,10 @@
     let state = agent.state();
     let now = Instant::now();
     let held = state.objects.revision();
+    let mut ages = state.freshness.ages(now, held);
+    if pull.newest_confirmation_only {
+        ages = newest_confirmation(ages).into_iter().collect();
+    }
     let delta = if pull.one_page_only {
         OutgoingDeltas::default()
             .page(&state.objects, &pull.vm, pull.revision, None, now)
@@ -115,16 +120,16 @@
     };
     PullReply {
         delta,
-        regions: state
-            .freshness
-            .ages(now, held)
-            .into_iter()
-            .map(RegionEvidence::from)
-            .collect(),
+        regions: ages.into_iter().map(RegionEvidence::from).collect(),
         revision: held,
     }
 }
 
+fn newest_confirmation(ages: Vec<RegionAges>) -> Option<RegionAges> {
+    let confirmed = ages.into_iter().filter(|ages| ages.confirmed.is_some());
+    confirmed.min_by_key(|ages| ages.confirmed.map(|(age, _)| age))
+}
+
 fn status(agent: &Agent) -> StatusReply {
     let age = lock(&agent.reported_at).map(|at| at.elapsed());
     let connected = age.is_some_and(|age| age <= ENTRY_SILENT_AFTER);
@@ -133,6 +138,7 @@
         vm: agent.settings.vm.to_string(),
         agent_revision: *agent.revision.borrow(),
         entry: report.clone().filter(|_| connected),
+        traffic: Some(traffic::total()),
     }
 }
 
