Step the region weights toward their target under the shift cap

Weights of a new configuration and region drains took effect at once. The object holds the token, the number of the step and the pause that was in force with it; a holder dates a step by when it first saw its number, so it cannot step early. All services step together, so look-ups keep in step with them.

A drained region keeps its VMs and endpoints until its weight is zero.

--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -18,7 +18,9 @@
 use crate::connection::PeerLink;
 use crate::logfmt;
 use crate::platform::{Condition, PlatformError, Revision};
-use crate::version::{SHARE_TABLE, VmRecord, decode_share_table, encode_share_table};
+use crate::version::{
+    InForce, SHARE_TABLE, STEERING, VmRecord, decode_share_table, encode_share_table,
+};
 use crate::wire::{Body, StatusRequest};
 
 /// Name of the lease's object.
@@ -46,6 +48,8 @@
         lease,
         absent_since: BTreeMap::new(),
         table_since: None,
+        view: InForce::default(),
+        step_since: None,
         links: HashMap::new(),
     };
     let mut ticks = tokio::time::interval(ROUND);
@@ -55,6 +59,7 @@
         if allocator.is_candidate() {
             allocator.follow_lease().await;
             allocator.divide().await;
+            allocator.steer().await;
         }
     }
 }
@@ -66,6 +71,10 @@
     absent_since: BTreeMap<VmName, Instant>,
     /// When the present table's version was first seen.
     table_since: Option<(u64, Instant)>,
+    /// The configuration, drains and weights that are stored.
+    view: InForce,
+    /// When the last step of the weights was first seen.
+    step_since: Option<(u64, Instant)>,
     links: HashMap<VmName, (SocketAddr, PeerLink)>,
 }
 
@@ -188,6 +197,57 @@
         }
     }
 
+    /// Takes the next step of the region weights, if this agent holds the
+    /// lease. Every candidate dates the steps, so that a new holder neither
+    /// steps early nor waits longer than it must.
+    async fn steer(&mut self) {
+        let stored = {
+            let state = self.agent.state();
+            if state.objects.revision() > self.view.revision {
+                self.view = InForce::build(&state.objects, &self.view);
+            }
+            state.objects.get(STEERING).map(|entry| entry.revision)
+        };
+        let now = Instant::now();
+        let table = &self.view.steering;
+        let since = match self.step_since {
+            Some((step, since)) if step == table.step => since,
+            _ => now,
+        };
+        self.step_since = Some((table.step, since));
+        let Some(token) = self.lease.held(now) else {
+            return;
+        };
+        let Some(config) = self.view.config.clone() else {
+            return;
+        };
+        if token.check(table.token).is_err() {
+            return;
+        }
+        let next = if table.token < token {
+            // As with the share table, the first write under a new token
+            // makes any write of the former holder fail.
+            let mut table = table.clone();
+            table.token = token;
+            Some(table)
+        } else {
+            table.next(&config, &self.view.drained_regions, Some(since), now)
+        };
+        let Some(next) = next else { return };
+        let condition = stored.map_or(Condition::Absent, Condition::At);
+        let value = Bytes::from(next.encode());
+        match self.agent.platform.put(STEERING, value, condition).await {
+            Ok(_) => log::info!(
+                "event=weights_published step={} token={}",
+                next.step,
+                next.token.get()
+            ),
+            Err(error) => {
+                log::warn!("event=weights_failed error={}", logfmt::value(&error));
+            }
+        }
+    }
+
     async fn publish(&mut self, next: &ShareTable, condition: Condition) {
         let value = Bytes::from(encode_share_table(next));
         match self.agent.platform.put(SHARE_TABLE, value, condition).await {
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -16,6 +16,7 @@
 use super::clients::ClientTable;
 use super::routes::{self, Routes, RoutesInput};
 use super::shares::{self, SHARE_TABLE};
+use super::steering::{STEERING, SteeringTable};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
 use crate::logfmt;
 use crate::platform::Revision;
@@ -63,6 +64,8 @@
     pub config: Option<Arc<Config>>,
     /// Client blocks of the configuration.
     pub(crate) clients: Option<Arc<ClientTable>>,
+    /// Region weights in effect.
+    pub(crate) steering: SteeringTable,
     /// How traffic is split over regions.
     pub(crate) routes: Arc<Routes>,
     /// Keys.
@@ -142,6 +145,10 @@
             if let Some(table) = shares::decode(value) {
                 self.shares = table;
             }
+        } else if name == STEERING {
+            if let Some(table) = SteeringTable::decode(value) {
+                self.steering = table;
+            }
         } else if let Some(address) = name.strip_prefix("drains/server/") {
             if let Ok(address) = address.parse() {
                 self.drained_servers.insert(address);
@@ -157,11 +164,20 @@
         let Some(config) = self.config.as_deref() else {
             return Routes::default();
         };
-        let services = routes::targets(config, &self.drained_regions);
-        let Some(lookups) = Weights::average(services.values()) else {
+        // A service that the allocator has not published yet starts at its
+        // target.
+        let mut services = routes::targets(config, &self.drained_regions);
+        for (name, weights) in &mut services {
+            if let Some(in_effect) = self.steering.services.get(name) {
+                weights.clone_from(in_effect);
+            }
+        }
+        let in_effect = self.steering.lookups.clone();
+        let Some(lookups) = in_effect.or_else(|| Weights::average(services.values())) else {
             return Routes::default();
         };
-        let vms = self.vms.values().filter(|vm| self.takes_work(vm));
+        let vms = self.vms.values();
+        let vms = vms.filter(|vm| vm.is_live() && !self.drained_vms.contains(vm.name.as_str()));
         Routes::new(RoutesInput {
             config,
             drained: &self.drained_regions,
@@ -171,20 +187,23 @@
         })
     }
 
-    /// A VM that stays and is not drained, nor its region.
+    /// A VM that stays and is not drained. The VMs of a drained region take
+    /// work until its weight is zero.
     #[must_use]
     pub fn takes_work(&self, vm: &VmRecord) -> bool {
         vm.is_live()
             && !self.drained_vms.contains(vm.name.as_str())
-            && !self.drained_regions.contains(vm.region.as_str())
+            && !(self.drained_regions.contains(vm.region.as_str())
+                && self.routes.is_left_by_lookups(&vm.region))
     }
 
     /// Endpoints of a service in a region.
     pub(crate) fn endpoints<'a>(
         &'a self,
-        service: &ServiceName,
+        service: &'a ServiceName,
         region: &'a RegionName,
     ) -> impl Iterator<Item = Endpoint> + 'a {
+        let service_name = service;
         let config = self.config.as_deref();
         config
             .and_then(|cfg| Some((cfg, cfg.services.get(service)?)))
@@ -196,8 +215,7 @@
                     .map(move |(_, address)| Endpoint {
                         address,
                         slots: service.slots,
-                        drained: self.drained_regions.contains(region.as_str())
-                            || self.is_drained(address),
+                        drained: self.is_left(service_name, region) || self.is_drained(address),
                     })
             })
     }
@@ -205,7 +223,7 @@
     /// Endpoints of a service in a region that take new work, with their slots.
     pub(crate) fn usable_endpoints<'a>(
         &'a self,
-        service: &ServiceName,
+        service: &'a ServiceName,
         region: &'a RegionName,
     ) -> impl Iterator<Item = (SocketAddr, u32)> + 'a {
         self.endpoints(service, region)
@@ -226,6 +244,11 @@
         one_way * 2
     }
 
+    /// A region is drained, and the service's traffic has moved out of it.
+    fn is_left(&self, service: &ServiceName, region: &RegionName) -> bool {
+        self.drained_regions.contains(region.as_str()) && self.routes.weight(service, region) == 0
+    }
+
     /// A backend server is drained by an operator, or its VM is leaving.
     fn is_drained(&self, address: SocketAddr) -> bool {
         self.drained_servers.contains(&address)
--- a/crates/filbertgrade/src/version/mod.rs
+++ b/crates/filbertgrade/src/version/mod.rs
@@ -10,6 +10,7 @@
 mod names;
 mod routes;
 mod shares;
+mod steering;
 
 pub use config::{
     Access, Config, ConfigChange, ConfigError, ConfigFile, ConfigLine, ConfigValue, Fault, Network,
@@ -22,3 +23,4 @@
 pub use names::ServiceName;
 pub(crate) use routes::{client_hash, client_point};
 pub(crate) use shares::{SHARE_TABLE, decode as decode_share_table, encode as encode_share_table};
+pub(crate) use steering::STEERING;
--- a/crates/filbertgrade/src/version/routes.rs
+++ b/crates/filbertgrade/src/version/routes.rs
@@ -23,8 +23,10 @@
     unknown: Split,
     /// Split of each service's requests by the region of the entry.
     requests: HashMap<ServiceName, HashMap<RegionName, Split>>,
-    /// Weights in effect.
+    /// Weights of services in effect.
     weights: BTreeMap<ServiceName, Weights>,
+    /// Regions that look-ups name no more.
+    left: HashSet<RegionName>,
 }
 
 /// What the splits are computed from.
@@ -58,10 +60,12 @@
             .cloned()
             .collect();
         let mut vms: IndexMap<RegionName, Vec<Arc<VmRecord>>> = IndexMap::new();
-        for region in regions() {
-            if drained.contains(region) && input.lookups.get(region) == 0 {
-                continue;
-            }
+        let left: HashSet<RegionName> = drained
+            .iter()
+            .filter(|region| input.lookups.get(region) == 0)
+            .cloned()
+            .collect();
+        for region in regions().filter(|region| !left.contains(*region)) {
             let of_region = input.vms.iter().filter(|vm| vm.region == *region);
             let of_region: Vec<_> = of_region.map(|vm| Arc::new((*vm).clone())).collect();
             if !of_region.is_empty() {
@@ -100,6 +104,7 @@
             unknown: Split::by_weights(&entered),
             requests,
             weights: input.services,
+            left,
         }
     }
 
@@ -149,6 +154,11 @@
         !self.drained.contains(region) && self.weight(service, region) > 0
     }
 
+    /// The region is drained, and its look-up weight is zero.
+    pub(crate) fn is_left_by_lookups(&self, region: &RegionName) -> bool {
+        self.left.contains(region)
+    }
+
     /// Units of a service's traffic that a region gets.
     pub(crate) fn weight(&self, service: &ServiceName, region: &RegionName) -> u32 {
         self.weights.get(service).map_or(0, |w| w.get(region))
