Limit the requests that leave their region

Requests that a region could not take went to other regions without a limit, so a failed region moved all of its traffic at once. An entry now lets at most a fraction of a service's requests leave the region that the weights chose: the fraction of the last period plus the shift cap, and 10 requests for services with little traffic.

--- a/crates/filbertgrade-coord/src/lib.rs
+++ b/crates/filbertgrade-coord/src/lib.rs
@@ -63,5 +63,6 @@
 pub mod rendezvous;
 pub mod share_table;
 pub mod slots;
+pub mod spill;
 pub mod versioned;
 pub mod weights;
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod shutdown;
 mod slots;
+mod spill;
 
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -25,6 +25,7 @@
 use self::grant::HeldPermit;
 pub(crate) use self::grant::{EndpointFault, SlotGrant};
 use super::links::PeerLinks;
+use super::spill::Spills;
 use crate::logfmt;
 use crate::process::settings::NodeSettings;
 use crate::request::{Cause, Refusal};
@@ -57,6 +58,7 @@
     links: Arc<PeerLinks>,
     books: Mutex<HashMap<BookId, Book>>,
     fallback: Fallback,
+    spills: Spills,
 }
 
 /// Names a slot book.
@@ -130,6 +132,7 @@
             links,
             books: Mutex::default(),
             fallback: Fallback::default(),
+            spills: Spills::default(),
         });
         tokio::spawn(expire_periodically(Arc::downgrade(&shared)));
         Self { shared }
@@ -137,9 +140,10 @@
 
     /// Gets a slot, and waits for it if it must, at most until the deadline.
     ///
-    /// The own region comes first, then the others without waiting there, and
-    /// last the queue of the own region. Endpoints that rest after a fault are
-    /// used only when no region has another one.
+    /// The region that the weights choose comes first, then the others without
+    /// waiting there, as far as the limit on such requests allows, and last the
+    /// queue of the first. Endpoints that rest after a fault are used only when
+    /// no region has another one.
     ///
     /// # Errors
     ///
@@ -149,24 +153,33 @@
         view: &InForce,
         ask: &SlotAsk,
     ) -> Result<SlotGrant, Refusal> {
-        let regions = self.regions(view, ask);
+        let (chosen, regions) = self.regions(view, ask);
         let Some(home) = regions.first() else {
             return Err(Refusal::not_run(Cause::NoEndpoint));
         };
+        let mut spill = self.shared.spills.start(view, ask);
         let mut busy = false;
         for resting in [Resting::Left, Resting::Used] {
             for (region, wait) in regions.iter().zip(self.first_waits(view)) {
+                if *region != chosen && !spill.may_leave() {
+                    busy = true;
+                    break;
+                }
                 let region = Tried {
                     region,
                     wait,
                     resting,
                 };
                 match self.try_region(view, ask, &region).await {
-                    RegionAnswer::Granted(grant) => return Ok(grant),
+                    RegionAnswer::Granted(grant) => {
+                        spill.runs_in(region.region == &chosen);
+                        return Ok(grant);
+                    }
                     RegionAnswer::Busy => busy = true,
                     RegionAnswer::None => {}
                     RegionAnswer::Silent => {
                         if let Some(grant) = self.guess(view, ask, region.region) {
+                            spill.runs_in(region.region == &chosen);
                             return Ok(grant);
                         }
                     }
@@ -179,13 +192,19 @@
         if !busy {
             return Err(Refusal::not_run(Cause::NoEndpoint));
         }
+        if *home != chosen && !spill.may_leave() {
+            return Err(Refusal::not_run(Cause::Busy));
+        }
         let queue = Tried {
             region: home,
             wait: LONGEST_WAIT,
             resting: Resting::Left,
         };
         match self.try_region(view, ask, &queue).await {
-            RegionAnswer::Granted(grant) => Ok(grant),
+            RegionAnswer::Granted(grant) => {
+                spill.runs_in(*home == chosen);
+                Ok(grant)
+            }
             _ => Err(Refusal::not_run(Cause::Busy)),
         }
     }
@@ -246,10 +265,11 @@
             .collect()
     }
 
-    /// Regions with usable endpoints of the service: the one that the weights
-    /// choose first, then the others that have a part of the traffic. Regions
-    /// without one are used only when there is no other.
-    fn regions(&self, view: &InForce, ask: &SlotAsk) -> Vec<RegionName> {
+    /// The region that the weights choose, and the regions with usable
+    /// endpoints of the service: the chosen one first, then the others that
+    /// have a part of the traffic. Regions without a part are used only when
+    /// there is no other.
+    fn regions(&self, view: &InForce, ask: &SlotAsk) -> (RegionName, Vec<RegionName>) {
         let own = &self.shared.settings.region;
         let first = view
             .routes
@@ -265,7 +285,7 @@
         if regions.iter().any(has_part) {
             regions.retain(has_part);
         }
-        regions
+        (first.unwrap_or(own).clone(), regions)
     }
 
     /// Wait in the queue of each region in turn: as long as sending the
