--- a/crates/filbertgrade/tests/moves/main.rs
+++ b/crates/filbertgrade/tests/moves/main.rs
@@ -5,5 +5,9 @@
     reason = "a set-up step that fails must fail the test"
 )]
 
+#[path = "../it/fleet.rs"]
+#[expect(dead_code, reason = "other test targets use the rest")]
+mod fleet;
 mod lookups;
+mod moving;
 mod view;
