--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -9,6 +9,7 @@
 #[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 
+mod bad_answers;
 mod bad_input;
 mod decisions;
 mod graceful_stop;
