--- a/crates/filbertgrade/tests/agents/scenario.rs
+++ b/crates/filbertgrade/tests/agents/scenario.rs
@@ -195,6 +195,9 @@
                     .map(|answer| format!("{} {}", answer.status, answer.cause))
                     .collect();
                 out = kinds.into_iter().collect::<Vec<_>>().join(", ");
+                if out.is_empty() {
+                    out = "none".to_owned();
+                }
             }
             "request" => {
                 let vm: usize = value(&mut args, "vm")?.ok_or("vm is missing")?;
