--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbertgrade_coord::dissemination::Member;
+use filbertgrade_coord::dissemination::{self, Member};
 use filbertgrade_coord::freshness::FreshnessTracker;
 use filbertgrade_coord::names::{RegionName, VmName};
 use filbertgrade_coord::versioned::{Applied, MalformedError, VersionedMap};
@@ -87,18 +87,58 @@
     pub(crate) freshness: FreshnessTracker,
     /// VMs of the platform's list; kept in step with `objects`.
     pub(crate) vms: Vec<VmRecord>,
+    /// What follows from `vms`; kept in step with it.
+    pub(crate) place: Place,
     /// When this agent first held anything.
     held_since: Option<Instant>,
     /// Name of the own VM.
     vm: VmName,
 }
 
+/// The agent's place among the VMs of the platform's list.
+///
+/// Finding it takes time in proportion to the list, so it is kept until the
+/// list changes.
+#[derive(Debug, Default)]
+pub(crate) struct Place {
+    /// VMs to pull from.
+    pub(crate) neighbours: Vec<VmRecord>,
+    /// The agent watches the store.
+    pub(crate) relay: bool,
+    /// The agent tries to hold the allocator lease.
+    pub(crate) allocator_candidate: bool,
+    /// Regions with live VMs.
+    live_regions: BTreeSet<RegionName>,
+}
+
+impl Place {
+    fn find(me: &Member, vms: &[VmRecord]) -> Self {
+        let members: Vec<Member> = vms.iter().filter_map(member).collect();
+        let chosen: BTreeSet<_> = dissemination::neighbours(me, &members)
+            .into_iter()
+            .map(|member| &member.vm)
+            .collect();
+        let live = || vms.iter().filter(|vm| vm.is_live());
+        Self {
+            neighbours: vms
+                .iter()
+                .filter(|vm| chosen.contains(&vm.name))
+                .cloned()
+                .collect(),
+            relay: members.is_empty() || dissemination::is_relay(me, &members),
+            allocator_candidate: allocator::is_candidate(&me.vm, live()),
+            live_regions: live().map(|vm| vm.region.clone()).collect(),
+        }
+    }
+}
+
 impl Agent {
     fn new(settings: NodeSettings, platform: Arc<dyn Platform>) -> Self {
         let state = State {
             objects: VersionedMap::new(CHANGE_LOG),
             freshness: FreshnessTracker::new(settings.region.clone()),
             vms: Vec::new(),
+            place: Place::default(),
             held_since: None,
             vm: settings.vm.clone(),
         };
@@ -129,6 +169,7 @@
         if let Applied::Advanced(names) = &applied {
             if names.iter().any(|name| name.starts_with("vms/")) {
                 state.vms = listed_vms(&state.objects);
+                state.place = Place::find(&self.me(), &state.vms);
             }
             state.held_since.get_or_insert_with(Instant::now);
             let held = state.objects.revision();
@@ -148,11 +189,6 @@
 }
 
 impl State {
-    /// The VMs of the platform's list that stay, as members of the exchange.
-    pub(crate) fn members(&self) -> Vec<Member> {
-        self.vms.iter().filter_map(member).collect()
-    }
-
     /// How much longer the state may be relied on; zero when isolated. `None`
     /// while this agent knows too little to judge.
     pub(crate) fn valid_for(&self, now: Instant) -> Option<Duration> {
@@ -161,16 +197,10 @@
         if !alone && now < held_since + JOIN_WAIT {
             return None;
         }
-        let regions: BTreeSet<RegionName> = self
-            .vms
-            .iter()
-            .filter(|vm| vm.is_live())
-            .map(|vm| vm.region.clone())
-            .collect();
         let held = self.objects.revision();
         let until = self
             .freshness
-            .freshness(now, held, &regions, alone)
+            .freshness(now, held, &self.place.live_regions, alone)
             .valid_until();
         Some(until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now)))
     }
--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -21,6 +21,11 @@
 /// Time between two rounds without a VM list, when the entry waits for state.
 const LONE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Peers of one round. One of them in turn is asked for the evidence of all
+/// regions, which is most of a reply in a large fleet; the others give the
+/// newest confirmation, on which freshness depends while the store answers.
+const PEERS: u64 = 3;
+
 /// Time for one answer; a peer in another region answers within about 110 ms.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,7 +41,7 @@
             let vms = if state.vms.is_empty() {
                 lock(&agent.pullers).clone()
             } else {
-                state.vms.clone()
+                state.place.neighbours.clone()
             };
             drop(state);
             let members: Vec<Member> = vms.iter().filter_map(member).collect();
@@ -47,9 +52,10 @@
                 .cloned()
                 .collect::<Vec<_>>()
         };
-        for peer in peers {
+        for (n, peer) in (0..).zip(peers) {
             let link = link_to(&agent, &mut links, &peer);
-            tokio::spawn(pull_once(Arc::clone(&agent), link, peer));
+            let all_regions = n == round % PEERS;
+            tokio::spawn(pull_once(Arc::clone(&agent), link, peer, all_regions));
         }
     }
 }
@@ -71,7 +77,7 @@
 }
 
 /// Pulls once, or until a delta of several pages is complete.
-async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord) {
+async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord, all_regions: bool) {
     let mut incoming = IncomingDelta::default();
     let mut transfer = None;
     loop {
@@ -82,6 +88,7 @@
             resume: incoming.resume(),
             region: agent.settings.region.to_string(),
             failure_domain: agent.settings.failure_domain.to_string(),
+            newest_confirmation_only: !all_regions,
             one_page_only: transfer.is_none() && agent.transfer.try_lock().is_err(),
         };
         match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
