--- a/crates/filbertgrade/tests/agents/main.rs
+++ b/crates/filbertgrade/tests/agents/main.rs
@@ -10,4 +10,5 @@
 #[expect(dead_code, reason = "the harness serves more than these tests")]
 mod fleet;
 mod load;
+mod scale;
 mod scenario;
--- /dev/null
+++ b/crates/filbertgrade/tests/agents/scale.rs
@@ -0,0 +1,79 @@
+//! Sizes of messages as the fleet grows.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use filbertgrade::connection::PeerLink;
+use filbertgrade::wire::{Body, Pull, PullReply};
+use filbertgrade_standins::platform::VmEntry;
+use prost::Message;
+
+use crate::fleet::Fleet;
+
+/// Regions of the additional VMs.
+const REGIONS: usize = 20;
+
+/// Guards against a reply to a pull that names each VM of the fleet, and
+/// against the evidence of all regions in every reply. Either would take the
+/// bytes that a node of a large fleet may spend on control.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reply_without_news_does_not_grow_with_the_fleet() {
+    let fleet = Fleet::start(1).await;
+    let vm = &fleet.vms[0];
+    let link = PeerLink::new(SocketAddr::new(vm.address, 7082), None);
+    list_vms(&fleet, 0..10);
+    let few = up_to_date(&fleet, &link, false).await;
+    let newest_of_few = up_to_date(&fleet, &link, true).await;
+    list_vms(&fleet, 10..400);
+    let many = up_to_date(&fleet, &link, false).await;
+    let newest_of_many = up_to_date(&fleet, &link, true).await;
+
+    // Ages and revisions are numbers of variable length.
+    let slack = 16 * (many.regions.len() + 1);
+    assert!(many.encoded_len() <= few.encoded_len() + slack);
+    for reply in [newest_of_few, newest_of_many] {
+        assert_eq!(reply.regions.len(), 1);
+        assert!(reply.regions[0].confirmed_age_ms.is_some());
+        assert!(reply.encoded_len() <= 64, "{} bytes", reply.encoded_len());
+    }
+}
+
+fn list_vms(fleet: &Fleet, numbers: std::ops::Range<usize>) {
+    for n in numbers {
+        fleet.platform.put_vm(&VmEntry {
+            name: format!("listed-{n}"),
+            // Nothing listens at the address, so nobody is pulled from.
+            address: "127.62.0.1".to_owned(),
+            region: format!("region-{}", n % REGIONS),
+            failure_domain: format!("domain-{}", n % REGIONS),
+            state: "live".to_owned(),
+        });
+    }
+}
+
+/// The reply to a pull by a peer that holds all that the store holds.
+async fn up_to_date(fleet: &Fleet, link: &PeerLink, newest_confirmation_only: bool) -> PullReply {
+    let began = Instant::now();
+    loop {
+        let revision = fleet.platform.revision();
+        let pull = Pull {
+            vm: "asker".to_owned(),
+            revision,
+            newest_confirmation_only,
+            ..Pull::default()
+        };
+        if let Ok(Body::PullReply(reply)) =
+            link.call(Body::Pull(pull), Duration::from_secs(1)).await
+            && reply.revision >= revision
+            && reply.delta.is_none()
+            && reply
+                .regions
+                .iter()
+                .any(|region| region.confirmed_age_ms.is_some())
+        {
+            return reply;
+        }
+        assert!(began.elapsed() < Duration::from_secs(10), "no reply");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
