Report control bytes of each link in dev

The proxies of the store, agent and entry peer ports count bytes by source, so the rate is taken over the time of the load, one way between two regions.

--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -11,6 +11,7 @@
 use filbertgrade_standins::caller::Key;
 use filbertgrade_standins::platform::PlatformServer;
 use filbertgrade_standins::proxy::{Bandwidth, Direction, Fault, FaultProxy};
+use indexmap::IndexMap;
 
 use crate::connection::PeerLink;
 use crate::logfmt;
@@ -94,6 +95,8 @@
     vms: Vec<VmRecord>,
     keys: HashMap<TeamName, Key>,
     _network: Vec<FaultProxy>,
+    /// Proxies that carry only control traffic, with the region behind them.
+    control: Vec<(RegionName, FaultProxy)>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -128,7 +131,10 @@
         let platform = PlatformServer::bind(real_store)
             .await
             .map_err(|source| listen_error(real_store, source))?;
-        let mut network = vec![links.proxy(STORE, real_store, &links.store_place()).await?];
+        let store_place = links.store_place();
+        let store_proxy = links.proxy(STORE, real_store, &store_place).await?;
+        let mut control = vec![(store_place.region, store_proxy)];
+        let mut network = Vec::new();
         let servers = start_servers(&config, &links, seed, &mut network).await?;
         for vm in &vms {
             platform.put(&format!("vms/{}", vm.name), vm.encode());
@@ -145,7 +151,12 @@
             for port in [ports.caller, ports.entry_peer, ports.agent_peer] {
                 let listen = SocketAddr::new(vm.address, port);
                 let forward = SocketAddr::new(process_address(vm.address), port);
-                network.push(links.proxy(listen, forward, &place).await?);
+                let proxy = links.proxy(listen, forward, &place).await?;
+                if port == ports.caller {
+                    network.push(proxy);
+                } else {
+                    control.push((vm.region.clone(), proxy));
+                }
             }
             tasks.extend(start_vm(vm, STORE, ports));
         }
@@ -156,6 +167,7 @@
             vms,
             keys,
             _network: network,
+            control,
             tasks,
         })
     }
@@ -203,6 +215,24 @@
             .collect()
     }
 
+    /// Bytes of control traffic so far on each link, one way: between VMs,
+    /// and between VMs and the store.
+    pub(super) fn control_bytes(&self) -> IndexMap<String, u64> {
+        let mut bytes = IndexMap::new();
+        for (region, proxy) in &self.control {
+            for vm in self.vms.iter().filter(|vm| vm.region != *region) {
+                let counts = proxy.counts_from(process_address(vm.address));
+                let mut add = |from: &RegionName, to: &RegionName, count| {
+                    *bytes.entry(format!("{from}-{to}")).or_default() += count;
+                };
+                add(&vm.region, region, counts.to_server);
+                add(region, &vm.region, counts.to_client);
+            }
+        }
+        bytes.sort_unstable_keys();
+        bytes
+    }
+
     /// Free fraction of each region's slots.
     pub(super) fn free_slots(&self) -> Vec<(RegionName, f64)> {
         self.config
--- a/crates/filbertgrade/src/process/command/dev/mod.rs
+++ b/crates/filbertgrade/src/process/command/dev/mod.rs
@@ -11,6 +11,7 @@
 
 use filbertgrade_standins::backend::BackendRecords;
 use filbertgrade_standins::caller::{Kind, Limit, Load, LoadConfig, LoadReport, Route, TeamLoad};
+use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -76,15 +77,24 @@
 
     let teams = team_loads(&deployment, load, seed);
     progress.say(&format!("sending traffic for {} s", duration.as_secs()));
+    let control_before = deployment.control_bytes();
+    let load_start = Instant::now();
     let running = tokio::spawn(run_load(&deployment, teams.clone(), duration, seed));
     let watched = watch(&deployment, duration, &progress).await;
     let load_report = running.await.map_err(DevError::Load)?;
+    let mut control: IndexMap<String, f64> = IndexMap::new();
+    for (link, bytes) in deployment.control_bytes() {
+        let before = control_before.get(&link).copied().unwrap_or_default();
+        let rate = (bytes - before) as f64 / load_start.elapsed().as_secs_f64();
+        control.insert(link, rate);
+    }
     let records = deployment.records();
     let drain = drain_time(&deployment, &records, watched.drained_at);
 
     progress.say("sending the same traffic straight to the backend servers");
     let direct = direct_load(&deployment, teams, duration / 2, seed + 1).await;
-    let report = DevReport::new(&load_report, &direct, &records, watched.headroom, drain);
+    let mut report = DevReport::new(&load_report, &direct, &records, watched.headroom, drain);
+    report.control_bytes_per_second_per_link = control;
     if flags.json {
         println!("{}", report.to_json());
     } else {
--- a/crates/filbertgrade/src/process/command/dev/report.rs
+++ b/crates/filbertgrade/src/process/command/dev/report.rs
@@ -37,6 +37,8 @@
     worst_team: WorstTeam,
     headroom: IndexMap<String, f64>,
     drain_seconds: f64,
+    /// By link, one way.
+    pub(super) control_bytes_per_second_per_link: IndexMap<String, f64>,
 }
 
 /// Figures of one team.
@@ -130,6 +132,7 @@
             worst_team: WorstTeam::of(load),
             headroom: headroom.least,
             drain_seconds: drain.as_secs_f64(),
+            control_bytes_per_second_per_link: IndexMap::new(),
         }
     }
 
@@ -209,6 +212,9 @@
             );
         }
         row("drain", format!("{:.2} s", self.drain_seconds));
+        for (link, rate) in &self.control_bytes_per_second_per_link {
+            row(&format!("control {link}"), format!("{rate:.0} bytes/s"));
+        }
         table
     }
 }
