--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -262,8 +262,13 @@
 
     /// Applies the fleet's configuration with the command line.
     pub(crate) async fn apply(&self) {
+        self.apply_text(&self.config()).await;
+    }
+
+    /// Applies a configuration with the command line.
+    pub(crate) async fn apply_text(&self, text: &str) {
         let file = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(file.path(), self.config()).unwrap();
+        std::fs::write(file.path(), text).unwrap();
         let output = self
             .command(&["apply", file.path().to_str().unwrap()])
             .await;
