Feed the entry at the lapse of its validity, and count from its call

Cause: with the store down from the start of the load, the team within its rate got 21 refusals as isolated (of 727 requests) when the evidence reached the age of 5 s. The agent answered the entry's Hello up to 250 ms after the lapse, and the entry counted the validity from sending the Hello although the agent measured it up to 250 ms later.

Ruled out: a state that is really isolated; all agents heard each other.

Conclusion: the gap shrinks from about 260 ms to the delay of one message; it is not closed.

--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -30,12 +30,17 @@
 }
 
 async fn feed(agent: &Agent, hello: &Hello) -> Feed {
+    let asked = Instant::now();
     let mut revision = agent.revision.subscribe();
     let newer = revision.wait_for(|held| *held > hello.revision);
-    let _ = tokio::time::timeout(FEED_WAIT, newer).await;
+    let longest = longest_wait(agent.state().valid_for(asked));
+    let _ = tokio::time::timeout(longest, newer).await;
     let state = agent.state();
     let now = Instant::now();
-    let valid = state.valid_for(now);
+    let valid = match state.valid_for(now) {
+        Duration::ZERO => Duration::ZERO,
+        left => left + now.saturating_duration_since(asked),
+    };
     let mut outgoing = lock(&agent.outgoing);
     Feed {
         delta: outgoing.page(&state.objects, OWN_ENTRY, hello.revision, hello.resume, now),
@@ -44,6 +49,20 @@
     }
 }
 
+/// Longest time until a feed is answered, by how long the state is still valid.
+///
+/// When the store goes out, what the entry knows lapses before the agent can
+/// tell that the state remains valid. The entry has to hear that at once,
+/// because it refuses all requests meanwhile.
+fn longest_wait(valid: Duration) -> Duration {
+    /// Timers have a resolution of 1 ms, and may not end before the lapse.
+    const AFTER_LAPSE: Duration = Duration::from_millis(1);
+    if valid.is_zero() {
+        return FEED_WAIT;
+    }
+    FEED_WAIT.min(valid + AFTER_LAPSE)
+}
+
 fn note_report(agent: &Agent, report: Report) {
     let mut last = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
     *last = Some(report);
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -147,8 +147,8 @@
     /// Change since the last feed, if there is one.
     #[prost(message, optional, tag = "1")]
     pub delta: Option<Delta>,
-    /// How much longer the state may be relied on, in milliseconds from
-    /// sending; 0 when the VM is isolated.
+    /// How long the state may be relied on, in milliseconds from the arrival
+    /// of the `Hello`; 0 when the VM is isolated.
     #[prost(uint32, tag = "2")]
     pub valid_ms: u32,
     /// Revision that the agent holds, and that `valid_ms` is about.
