--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -31,6 +31,10 @@
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(200);
 
+/// Time between two reads of the lease by a candidate that waits for it, which
+/// delays a takeover after a holder gave the lease up.
+const LEASE_READ: Duration = Duration::from_secs(1);
+
 /// Time for one agent to acknowledge a table.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -44,6 +48,7 @@
     let mut allocator = Allocator {
         agent,
         lease,
+        lease_read_at: None,
         absent_since: BTreeMap::new(),
         table_since: None,
         links: HashMap::new(),
@@ -55,6 +60,8 @@
         if allocator.is_candidate() {
             allocator.follow_lease().await;
             allocator.divide().await;
+        } else {
+            allocator.yield_lease().await;
         }
     }
 }
@@ -62,6 +69,8 @@
 struct Allocator {
     agent: Arc<Agent>,
     lease: Lease,
+    /// When the lease was last read.
+    lease_read_at: Option<Instant>,
     /// When each VM of the table was first missed in the platform's list.
     absent_since: BTreeMap<VmName, Instant>,
     /// When the present table's version was first seen.
@@ -78,8 +87,15 @@
     }
 
     async fn follow_lease(&mut self) {
-        let result = match self.lease.next(Instant::now()) {
-            LeaseAction::Wait { .. } => Ok(()),
+        let now = Instant::now();
+        let result = match self.lease.next(now) {
+            LeaseAction::Wait { .. } if self.lease.held(now).is_some() => Ok(()),
+            LeaseAction::Wait { .. }
+                if self.lease_read_at.is_some_and(|at| now < at + LEASE_READ) =>
+            {
+                Ok(())
+            }
+            LeaseAction::Wait { .. } => self.read_lease().await,
             LeaseAction::Read => self.read_lease().await,
             LeaseAction::Write { expected, record } => self.write_lease(expected, &record).await,
         };
@@ -88,7 +104,27 @@
         }
     }
 
+    /// Gives the lease up when this VM is no candidate, for instance because it
+    /// leaves. Otherwise nobody would move shares until the lease lapses.
+    async fn yield_lease(&mut self) {
+        let Some(LeaseAction::Write { expected, record }) = self.lease.yield_now(Instant::now())
+        else {
+            return;
+        };
+        let value = serde_json::to_vec(&LeaseFile::from(&record)).unwrap_or_default();
+        let condition = expected.map_or(Condition::Absent, Condition::At);
+        let written = self.agent.platform.put(LEASE, value.into(), condition);
+        match written.await {
+            Ok(_) => log::info!("event=lease_yielded token={}", record.token.get()),
+            Err(error) => log::warn!("event=lease_failed error={}", logfmt::value(&error)),
+        }
+        // Whatever became of this write and of a renewal before it, only a
+        // new read tells the present record.
+        self.lease.conflicted();
+    }
+
     async fn read_lease(&mut self) -> Result<(), PlatformError> {
+        self.lease_read_at = Some(Instant::now());
         let object = self.agent.platform.get(LEASE).await?;
         let stored = object.and_then(|object| {
             let file: LeaseFile = serde_json::from_slice(object.value.as_deref()?).ok()?;
