--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -189,6 +189,11 @@
         self.launch(n, listed, store, proxies);
     }
 
+    /// Address of the callers' port of a VM, also before it is added.
+    pub(crate) fn callers_of(&self, n: u8) -> SocketAddr {
+        address(self.octet, 1, n, 7080)
+    }
+
     fn listed(&self, n: u8) -> VmEntry {
         let north = self.regions == Regions::One || n % 2 == 1;
         let region = if north { "north" } else { "south" };
@@ -253,8 +258,13 @@
 
     /// Applies the fleet's configuration with the command line.
     pub(crate) async fn apply(&self) {
+        self.apply_text(&self.config()).await;
+    }
+
+    /// Applies a configuration with the command line.
+    pub(crate) async fn apply_text(&self, config: &str) {
         let file = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(file.path(), self.config()).unwrap();
+        std::fs::write(file.path(), config).unwrap();
         let output = self
             .command(&["apply", file.path().to_str().unwrap()])
             .await;
