--- a/crates/filbertgrade/src/process/agent/peers.rs
+++ b/crates/filbertgrade/src/process/agent/peers.rs
@@ -42,12 +42,11 @@
 }
 
 async fn feed(agent: &Agent, hello: &Hello) -> Feed {
+    let asked = Instant::now();
     let mut revision = agent.revision.subscribe();
     let newer = revision.wait_for(|held| *held > hello.revision);
-    let valid = agent.state().valid_for(Instant::now());
-    // The entry counts the validity from its request, so an answer that is
-    // late in a short validity would leave a gap before the next one.
-    let wait = match valid {
+    // A feed that is late in a short validity would leave a gap before the next.
+    let wait = match agent.state().valid_for(asked) {
         Some(valid) if valid > Duration::ZERO => FEED_WAIT.min(valid / 4),
         _ => FEED_WAIT,
     };
@@ -59,7 +58,11 @@
         state.freshness.exists(hello.revision);
         None
     } else {
-        state.valid_for(now)
+        // The entry counts the validity from its request.
+        state.valid_for(now).map(|left| match left {
+            Duration::ZERO => left,
+            left => left + now.saturating_duration_since(asked),
+        })
     };
     let mut outgoing = lock(&agent.outgoing);
     Feed {
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -189,6 +189,11 @@
         self.launch(n, listed, store, proxies);
     }
 
+    /// Address of the callers' port of a VM, also before it is added.
+    pub(crate) fn callers_of(&self, n: u8) -> SocketAddr {
+        address(self.octet, 1, n, 7080)
+    }
+
     fn listed(&self, n: u8) -> VmEntry {
         let north = self.regions == Regions::One || n % 2 == 1;
         let region = if north { "north" } else { "south" };
