Move a service out of a region whose endpoints are all drained

The drained server was the only one of its region, so its requests counted as spill-over and most were refused as busy.

--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -233,7 +233,7 @@
             table.token = token;
             Some(table)
         } else {
-            table.next(&config, &self.view.drained_regions, Some(since), now)
+            table.next(&config, self.view.drains(), Some(since), now)
         };
         let Some(next) = next else { return };
         let condition = stored.map_or(Condition::Absent, Condition::At);
--- a/crates/filbertgrade/src/version/in_force.rs
+++ b/crates/filbertgrade/src/version/in_force.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::clients::ClientTable;
-use super::routes::{self, Routes, RoutesInput};
+use super::routes::{self, Drains, Routes, RoutesInput};
 use super::shares::{self, SHARE_TABLE};
 use super::steering::{STEERING, SteeringTable};
 use super::{Config, KeyRecord, KeyTable, ServiceName, VmRecord};
@@ -160,13 +160,21 @@
         }
     }
 
+    /// Drains that the targets of the region weights follow.
+    pub(crate) fn drains(&self) -> Drains<'_> {
+        Drains {
+            regions: &self.drained_regions,
+            servers: &self.drained_servers,
+        }
+    }
+
     fn new_routes(&self) -> Routes {
         let Some(config) = self.config.as_deref() else {
             return Routes::default();
         };
         // A service that the allocator has not published yet starts at its
         // target.
-        let mut services = routes::targets(config, &self.drained_regions);
+        let mut services = routes::targets(config, self.drains());
         for (name, weights) in &mut services {
             if let Some(in_effect) = self.steering.services.get(name) {
                 weights.clone_from(in_effect);
--- a/crates/filbertgrade/src/version/routes.rs
+++ b/crates/filbertgrade/src/version/routes.rs
@@ -1,14 +1,14 @@
 //! How traffic is split over regions, as of one view.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use filbertgrade_coord::names::RegionName;
 use filbertgrade_coord::weights::{WEIGHT_UNITS, Weights};
 use indexmap::IndexMap;
 
-use super::{Config, ServiceName, VmRecord};
+use super::{Config, ServiceConfig, ServiceName, VmRecord};
 
 /// Splits of look-ups and requests over regions, computed once for a view.
 #[derive(Clone, Debug, Default)]
@@ -239,16 +239,28 @@
     }
 }
 
-/// The configured weights of each service, with drained regions at zero. Where
-/// that leaves nothing, drains have no effect on the service.
-pub(crate) fn targets(
-    config: &Config,
-    drained: &HashSet<String>,
-) -> BTreeMap<ServiceName, Weights> {
-    let of_service = |weights: &IndexMap<RegionName, u32>, drained: &HashSet<String>| {
-        let parts = weights
-            .iter()
-            .filter(|(region, _)| !drained.contains(region.as_str()))
+/// What operators drain.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Drains<'a> {
+    pub(crate) regions: &'a HashSet<String>,
+    pub(crate) servers: &'a HashSet<SocketAddr>,
+}
+
+/// The configured weights of each service, with zero for regions that are
+/// drained or have only drained endpoints. Where that leaves nothing, drains
+/// have no effect on the service.
+pub(crate) fn targets(config: &Config, drains: Drains<'_>) -> BTreeMap<ServiceName, Weights> {
+    let in_proportion = |service: &ServiceConfig, all: bool| {
+        let is_target = |region: &RegionName| {
+            let mut endpoints = service.all_endpoints();
+            let is_usable = endpoints.any(|(domain, address)| {
+                config.region_of(domain) == Some(region) && !drains.servers.contains(&address)
+            });
+            is_usable && !drains.regions.contains(region.as_str())
+        };
+        let parts = service.weights.iter();
+        let parts = parts
+            .filter(|(region, _)| all || is_target(region))
             .map(|(region, weight)| (region.clone(), f64::from(*weight)));
         Weights::in_proportion(&parts.collect())
     };
@@ -256,8 +268,7 @@
         .services
         .iter()
         .filter_map(|(name, service)| {
-            let weights = of_service(&service.weights, drained)
-                .or_else(|| of_service(&service.weights, &HashSet::new()))?;
+            let weights = in_proportion(service, false).or_else(|| in_proportion(service, true))?;
             Some((name.clone(), weights))
         })
         .collect()
--- a/crates/filbertgrade/src/version/steering.rs
+++ b/crates/filbertgrade/src/version/steering.rs
@@ -1,6 +1,6 @@
 //! Region weights in effect, as the platform stores them, and their steps.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::lease::FencingToken;
@@ -8,7 +8,8 @@
 use filbertgrade_coord::weights::{WEIGHT_UNITS, WeightStep, Weights, next_weights_after};
 use serde::{Deserialize, Serialize};
 
-use super::{Config, ServiceName, routes};
+use super::routes::{self, Drains};
+use super::{Config, ServiceName};
 
 /// Name of the object with the weights in effect.
 pub(crate) const STEERING: &str = "steering/weights";
@@ -38,7 +39,7 @@
     pub(crate) fn next(
         &self,
         config: &Config,
-        drained: &HashSet<String>,
+        drains: Drains<'_>,
         last_step: Option<Instant>,
         now: Instant,
     ) -> Option<Self> {
@@ -56,7 +57,7 @@
             }
             WeightStep::Done | WeightStep::Wait { .. } => current.clone(),
         };
-        let services: BTreeMap<ServiceName, Weights> = routes::targets(config, drained)
+        let services: BTreeMap<ServiceName, Weights> = routes::targets(config, drains)
             .into_iter()
             .map(|(name, target)| {
                 let weights = match self.services.get(&name) {
