--- a/crates/filbertgrade/src/process/agent/pull.rs
+++ b/crates/filbertgrade/src/process/agent/pull.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::dissemination::pull_peers;
+use filbertgrade_coord::dissemination::{Member, pull_peers};
 use filbertgrade_coord::freshness::RegionAges;
 use filbertgrade_coord::names::VmName;
 
-use super::Agent;
+use super::{Agent, lock, member};
 use crate::connection::PeerLink;
 use crate::logfmt;
 use crate::version::{IncomingDelta, VmRecord, apply_delta};
@@ -18,6 +18,14 @@
 /// Time between two rounds.
 const PULL_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two rounds without a VM list, when the entry waits for state.
+const LONE_PERIOD: Duration = Duration::from_millis(50);
+
+/// Peers of one round. One of them in turn is asked for the evidence of all
+/// regions, which is most of a reply in a large fleet; the others give the
+/// newest confirmation, on which freshness depends while the store answers.
+const PEERS: u64 = 3;
+
 /// Time for one answer; a peer in another region answers within about 110 ms.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -25,24 +33,29 @@
 pub(crate) async fn pull_from_peers(agent: Arc<Agent>) {
     let seed = rand::random();
     let mut links: HashMap<VmName, (VmRecord, PeerLink)> = HashMap::new();
-    let mut ticks = tokio::time::interval(PULL_PERIOD);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     for round in 0.. {
-        ticks.tick().await;
+        let lone = agent.state().vms.is_empty();
+        tokio::time::sleep(if lone { LONE_PERIOD } else { PULL_PERIOD }).await;
         let peers = {
             let state = agent.state();
-            let names = pull_peers(&agent.me(), &state.members(), round, seed);
-            links.retain(|name, _| state.vms.iter().any(|vm| vm.name == *name));
-            state
-                .vms
-                .iter()
+            let vms = if state.vms.is_empty() {
+                lock(&agent.pullers).clone()
+            } else {
+                state.place.neighbours.clone()
+            };
+            drop(state);
+            let members: Vec<Member> = vms.iter().filter_map(member).collect();
+            let names = pull_peers(&agent.me(), &members, round, seed);
+            links.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
+            vms.iter()
                 .filter(|vm| names.contains(&vm.name))
                 .cloned()
                 .collect::<Vec<_>>()
         };
-        for peer in peers {
+        for (n, peer) in (0..).zip(peers) {
             let link = link_to(&agent, &mut links, &peer);
-            tokio::spawn(pull_once(Arc::clone(&agent), link, peer));
+            let all_regions = n == round % PEERS;
+            tokio::spawn(pull_once(Arc::clone(&agent), link, peer, all_regions));
         }
     }
 }
@@ -64,7 +77,7 @@
 }
 
 /// Pulls once, or until a delta of several pages is complete.
-async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord) {
+async fn pull_once(agent: Arc<Agent>, link: PeerLink, peer: VmRecord, all_regions: bool) {
     let mut incoming = IncomingDelta::default();
     let mut transfer = None;
     loop {
@@ -73,6 +86,9 @@
             vm: agent.settings.vm.to_string(),
             revision: *agent.revision.borrow(),
             resume: incoming.resume(),
+            region: agent.settings.region.to_string(),
+            failure_domain: agent.settings.failure_domain.to_string(),
+            newest_confirmation_only: !all_regions,
             one_page_only: transfer.is_none() && agent.transfer.try_lock().is_err(),
         };
         match link.call(Body::Pull(pull), PULL_TIMEOUT).await {
@@ -127,6 +143,8 @@
     let mut state = agent.state();
     state.freshness.hear(sent, &peer.region, reply.revision);
     state.freshness.absorb(sent, &ages);
+    let held = state.objects.revision();
+    state.freshness.hold(held);
 }
 
 fn take_page(
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -8,10 +8,11 @@
 mod dump;
 mod feed;
 mod links;
-mod lookup;
+pub mod lookup;
 mod peers;
 mod shutdown;
 mod slots;
+mod spill;
 
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -147,10 +147,11 @@
     /// Change since the last feed, if there is one.
     #[prost(message, optional, tag = "1")]
     pub delta: Option<Delta>,
-    /// How long the state may be relied on, in milliseconds from the arrival
-    /// of the `Hello`; 0 when the VM is isolated.
-    #[prost(uint32, tag = "2")]
-    pub valid_ms: u32,
+    /// How much longer the state may be relied on, in milliseconds from
+    /// sending; 0 when the VM is isolated. Absent while the agent knows too
+    /// little to judge, as after a restart.
+    #[prost(uint32, optional, tag = "2")]
+    pub valid_ms: Option<u32>,
     /// Revision that the agent holds, and that `valid_ms` is about.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
@@ -187,6 +188,15 @@
     /// its way to the asking agent.
     #[prost(bool, tag = "4")]
     pub one_page_only: bool,
+    /// Region of the asking VM.
+    #[prost(string, tag = "5")]
+    pub region: String,
+    /// Failure domain of the asking VM.
+    #[prost(string, tag = "6")]
+    pub failure_domain: String,
+    /// The reply needs only the evidence with the newest confirmation.
+    #[prost(bool, tag = "8")]
+    pub newest_confirmation_only: bool,
 }
 
 /// Newest evidence from one region. Ages count back from sending.
@@ -207,6 +217,10 @@
     /// Revision that the store confirmed.
     #[prost(uint64, tag = "5")]
     pub confirmed_revision: u64,
+    /// Age of the newest answer of the store, whatever its revision, in
+    /// milliseconds.
+    #[prost(uint32, optional, tag = "6")]
+    pub reached_age_ms: Option<u32>,
 }
 
 /// Answer to [`Pull`].
@@ -239,6 +253,27 @@
     /// Last report of the entry, if it is connected.
     #[prost(message, optional, tag = "3")]
     pub entry: Option<Report>,
+    /// Traffic of the agent's links.
+    #[prost(message, optional, tag = "4")]
+    pub traffic: Option<LinkTraffic>,
+}
+
+/// Frames and bytes of all links of a process since it started, without TCP
+/// and IP headers.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LinkTraffic {
+    /// Frames received.
+    #[prost(uint64, tag = "1")]
+    pub frames_in: u64,
+    /// Bytes received.
+    #[prost(uint64, tag = "2")]
+    pub bytes_in: u64,
+    /// Frames sent.
+    #[prost(uint64, tag = "3")]
+    pub frames_out: u64,
+    /// Bytes sent.
+    #[prost(uint64, tag = "4")]
+    pub bytes_out: u64,
 }
 
 /// Asks for a loan of a team's rate and burst.
