--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -271,9 +271,9 @@
     }
 
     /// Applies a configuration with the command line.
-    pub(crate) async fn apply_text(&self, config: &str) {
+    pub(crate) async fn apply_text(&self, text: &str) {
         let file = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(file.path(), config).unwrap();
+        std::fs::write(file.path(), text).unwrap();
         let output = self
             .command(&["apply", file.path().to_str().unwrap()])
             .await;
--- a/crates/filbertgrade/tests/it/leaving.rs
+++ b/crates/filbertgrade/tests/it/leaving.rs
@@ -16,7 +16,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_server_gets_no_new_work_although_it_claims_to_be_healthy() {
     let fleet = Fleet::start(2).await;
-    fleet.apply().await;
+    // The drained server is the only one of its region, and the cap on what
+    // may leave a region must not hide a request that the drain refused.
+    let uncapped = fleet.config().replace("cap = 0.5", "cap = 1.0");
+    fleet.apply_text(&uncapped).await;
     let secret = fleet.create_key("atelier").await;
     fleet
         .wait_until(Duration::from_secs(8), |vm| serves(vm, &secret))
