--- a/crates/filbertgrade/src/process/agent/allocator.rs
+++ b/crates/filbertgrade/src/process/agent/allocator.rs
@@ -118,6 +118,11 @@
     /// Gives the lease up when this VM is no candidate, for instance because it
     /// leaves. Otherwise nobody would move shares until the lease lapses.
     async fn yield_lease(&mut self) {
+        // What was first seen under the lease says nothing about the time
+        // since, in which this agent does not look.
+        self.absent_since.clear();
+        self.table_since = None;
+        self.step_since = None;
         let Some(LeaseAction::Write { expected, record }) = self.lease.yield_now(Instant::now())
         else {
             return;
