Give new permits a short first lease

Cause: while VMs are cut from each other, asks for slots wait on the way. When the cut heals they arrive at once, and the slot book grants its slots to requests that gave up long ago; the permits kept every slot for their lease of 2 s. Seen as 143 to 150 refusals 'busy' on both sides in the 2 s after the cut, and as 192 to 195 refusals of 198 allowed in shares/rate vm_cut_off_from_its_peers_keeps_rate_and_burst, which failed once. Ruled out: the limit on requests that leave their region (the refusals stop 2 s after the heal, not with its period), and full endpoints (over_slots 0).

A new permit now runs for 500 ms unless its holder renews it, first after 200 ms.

--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -34,6 +34,12 @@
     ///
     /// A short lease costs more renewals; a long one keeps a dead holder's slot.
     pub permit_lease: Duration,
+    /// How long a new permit runs before its first renewal. Default 2 s.
+    ///
+    /// A grant whose request has gone meanwhile, for example because the ask
+    /// was held up on the way, keeps its slot for as long. It must leave time
+    /// for a round trip between regions.
+    pub first_lease: Duration,
     /// Fraction of the region's slots that requests from other regions must
     /// leave free. Default 0.2. With 1, other regions get nothing.
     pub local_reserve: f64,
@@ -47,6 +53,7 @@
     fn default() -> Self {
         Self {
             permit_lease: Duration::from_secs(2),
+            first_lease: Duration::from_secs(2),
             local_reserve: 0.2,
             ramp_step: Duration::from_millis(500),
             max_waiting: 4096,
@@ -558,7 +565,7 @@
             e.last_permit = self.next_permit;
         }
         self.next_permit += 1;
-        let until = now + self.cfg.permit_lease;
+        let until = now + self.cfg.first_lease;
         self.permits.insert(
             permit,
             Permit {
--- a/crates/filbertgrade/src/process/entry/slots/book.rs
+++ b/crates/filbertgrade/src/process/entry/slots/book.rs
@@ -16,6 +16,11 @@
 use crate::version::InForce;
 use crate::wire;
 
+/// Lease of a permit before its first renewal. After a cut between VMs, asks of
+/// requests that gave up long ago arrive all at once and take every slot; with
+/// a lease of 2 s they kept the slots for as long.
+const FIRST_LEASE: Duration = Duration::from_millis(500);
+
 /// Time without work for an endpoint that says it drains. After it, one
 /// request finds out whether the drain is over.
 const DRAIN_REST: Duration = Duration::from_secs(1);
@@ -50,7 +55,7 @@
 impl Book {
     pub(super) fn new() -> Self {
         Self {
-            book: SlotBook::new(rand::random(), SlotConfig::default()),
+            book: SlotBook::new(rand::random(), config()),
             revision: None,
             addresses: HashMap::new(),
             waiting: HashMap::new(),
@@ -223,6 +228,13 @@
     }
 }
 
+fn config() -> SlotConfig {
+    SlotConfig {
+        first_lease: FIRST_LEASE,
+        ..SlotConfig::default()
+    }
+}
+
 /// Names of several endpoints.
 pub(super) fn endpoint_names(addresses: &[SocketAddr]) -> Vec<EndpointName> {
     addresses.iter().copied().map(endpoint_name).collect()
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -11,6 +11,10 @@
 use super::{BookId, Slots};
 use crate::wire::{self, Body};
 
+/// When a permit is extended for the first time. Its first lease of 500 ms
+/// leaves 300 ms for the way to another region and back.
+const FIRST_RENEWAL: Duration = Duration::from_millis(200);
+
 /// How often a permit is extended; half of its lease of 2 s.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(1);
 
@@ -144,8 +148,10 @@
     id: BookId,
     permit: Arc<Mutex<HeldPermit>>,
 ) {
+    let mut pause = FIRST_RENEWAL;
     loop {
-        tokio::time::sleep(RENEWAL_PERIOD).await;
+        tokio::time::sleep(pause).await;
+        pause = RENEWAL_PERIOD;
         let held = lock(&permit).clone();
         if let Some(renewed) = renew(&slots, endpoint, &id, held.permit).await {
             *lock(&permit) = renewed;
