--- a/crates/filbertgrade/src/connection/link.rs
+++ b/crates/filbertgrade/src/connection/link.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
@@ -15,6 +15,7 @@
 use super::frame::{FrameCodec, FrameError};
 use crate::logfmt;
 use crate::wire::{Body, Frame};
+use crate::sync::lock;
 
 /// Frames that may wait for a slow peer before senders wait too.
 const QUEUED_FRAMES: usize = 256;
@@ -288,10 +289,6 @@
     );
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Removes a call that nobody waits for any more.
 struct ForgetOnDrop<'a> {
     waiting: &'a Mutex<Waiting>,
--- a/crates/filbertgrade/src/connection/pool.rs
+++ b/crates/filbertgrade/src/connection/pool.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
 use super::backend::{Busy, Connection, Idle, Proven};
+use crate::sync::lock;
 
 /// How long a connection may wait for its next request. Backend servers close
 /// idle connections themselves, and a request on a closed one is lost.
@@ -193,9 +194,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Endpoint>> {
-        self.endpoints
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.endpoints)
     }
 }
 
@@ -219,9 +218,7 @@
 impl Drop for OpenGuard {
     fn drop(&mut self) {
         let mut endpoints = self
-            .endpoints
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+            lock(&.endpoints);
         if let Some(endpoint) = endpoints.get_mut(&self.endpoint) {
             endpoint.open = endpoint.open.saturating_sub(1);
         }
--- a/crates/filbertgrade/src/lib.rs
+++ b/crates/filbertgrade/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod platform;
 pub mod process;
 pub mod request;
+mod sync;
 pub mod version;
 pub mod wire;
--- a/crates/filbertgrade/src/process/agent/dump.rs
+++ b/crates/filbertgrade/src/process/agent/dump.rs
@@ -1,12 +1,13 @@
 //! What the agent's operator port shows.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
 use super::Agent;
 use crate::process::operator::OperatorPort;
+use crate::sync::lock;
 
 /// Makes the operator port of the agent.
 pub(crate) fn operator_port(agent: &Arc<Agent>) -> OperatorPort {
@@ -30,12 +31,10 @@
 }
 
 fn describe(agent: &Agent) -> Value {
-    let report = agent.report.lock().unwrap_or_else(PoisonError::into_inner);
+    let report = lock(&agent.report);
     let report = report.clone();
     let reported_at = *agent
-        .reported_at
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+        lock(&.reported_at);
     let state = agent.state();
     json!({
         "role": "agent",
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -26,6 +26,7 @@
 use crate::process::settings::NodeSettings;
 use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::Report;
+use crate::sync::lock;
 
 /// Longest wait before the entry's request for state is answered.
 ///
@@ -250,7 +251,3 @@
         failure_domain: vm.failure_domain.clone(),
     })
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests by their team's rate and burst.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::bucket::Part;
@@ -17,6 +17,7 @@
 use crate::request::{Cause, Refusal};
 use crate::version::InForce;
 use crate::wire::{Body, Borrow, Loan};
+use crate::sync::{lock, read, write};
 
 /// Longest wait for a token. A longer queue would only delay the refusal.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
@@ -211,12 +212,12 @@
     }
 
     fn existing(&self, team: &TeamName) -> Option<Arc<TeamShare>> {
-        let teams = self.teams.read().unwrap_or_else(PoisonError::into_inner);
+        let teams = read(&self.teams);
         teams.get(team).map(Arc::clone)
     }
 
     fn shares(&self) -> Vec<Arc<TeamShare>> {
-        let teams = self.teams.read().unwrap_or_else(PoisonError::into_inner);
+        let teams = read(&self.teams);
         teams.values().map(Arc::clone).collect()
     }
 
@@ -243,7 +244,7 @@
             wake: Notify::new(),
         });
         tokio::spawn(drive(Arc::clone(&share), Arc::clone(&self.links)));
-        let mut teams = self.teams.write().unwrap_or_else(PoisonError::into_inner);
+        let mut teams = write(&self.teams);
         Arc::clone(teams.entry(team.clone()).or_insert(share))
     }
 
@@ -257,7 +258,7 @@
 
 impl TeamShare {
     fn state(&self) -> MutexGuard<'_, ShareState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/answer.rs
+++ b/crates/filbertgrade/src/process/entry/answer.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
@@ -20,6 +20,7 @@
 use super::slots::SlotGrant;
 use crate::connection::{Busy, Connection};
 use crate::request::Refusal;
+use crate::sync::lock;
 
 /// Body of an answer to a caller.
 pub(crate) type Body = UnsyncBoxBody<Bytes, AnswerError>;
@@ -125,7 +126,7 @@
 }
 
 fn lock(held: &Mutex<Held>) -> MutexGuard<'_, Held> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
+    lock(&held)
 }
 
 impl Drop for AnswerStream {
--- a/crates/filbertgrade/src/process/entry/links.rs
+++ b/crates/filbertgrade/src/process/entry/links.rs
@@ -1,7 +1,7 @@
 //! Links to the entries of the other VMs.
 
 use std::net::SocketAddr;
-use std::sync::{PoisonError, RwLock};
+use std::sync::{RwLock};
 
 use filbertgrade_coord::names::VmName;
 use indexmap::IndexMap;
@@ -9,6 +9,7 @@
 use crate::connection::PeerLink;
 use crate::process::settings::NodeSettings;
 use crate::version::InForce;
+use crate::sync::{read, write};
 
 /// One link for each VM of the platform's list but the own one.
 #[derive(Debug)]
@@ -34,7 +35,7 @@
     /// Follows the platform's list. A VM that is leaving keeps its link,
     /// because loans may have to be given back to it.
     pub(crate) fn update(&self, view: &InForce) {
-        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        let mut peers = write(&self.peers);
         let mut next = IndexMap::new();
         for vm in view.vms.values().filter(|vm| vm.name != self.settings.vm) {
             let address = SocketAddr::new(vm.address, self.settings.ports.entry_peer);
@@ -52,13 +53,13 @@
 
     /// The link to one VM.
     pub(crate) fn to(&self, vm: &VmName) -> Option<PeerLink> {
-        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        let peers = read(&self.peers);
         peers.get(vm).map(|peer| peer.link.clone())
     }
 
     /// `count` peers, other ones with each `turn` until all had theirs.
     pub(crate) fn next_peers(&self, count: usize, turn: usize) -> Vec<(VmName, PeerLink)> {
-        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        let peers = read(&self.peers);
         let total = peers.len();
         (0..count.min(total))
             .filter_map(|n| peers.get_index((turn * count + n) % total))
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -17,7 +17,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -34,6 +34,7 @@
 use crate::process::tasks::Tasks;
 use crate::request::{Guard, RetryBudget};
 use crate::version::InForce;
+use crate::sync::lock;
 
 /// Time between looks for connections that waited too long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -119,7 +120,7 @@
 
     /// Uses the retry budget.
     pub(crate) fn with_budget<R>(&self, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budget = lock(&self.budget);
         f(&mut budget)
     }
 }
--- a/crates/filbertgrade/src/process/entry/slots/fallback.rs
+++ b/crates/filbertgrade/src/process/entry/slots/fallback.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex};
 
 use rand::seq::IndexedRandom;
+use crate::sync::lock;
 
 /// Requests that this VM runs on each endpoint.
 #[derive(Debug, Default)]
@@ -15,7 +16,7 @@
 impl Fallback {
     /// The less loaded of two random endpoints; each comes with its slots.
     pub(super) fn choose(&self, usable: &[(SocketAddr, u32)]) -> Option<SocketAddr> {
-        let running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = lock(&self.running);
         usable
             .choose_multiple(&mut rand::rng(), 2)
             .min_by(|a, b| load(&running, a).total_cmp(&load(&running, b)))
@@ -24,13 +25,13 @@
 
     /// Counts a request that starts on `endpoint`.
     pub(super) fn start(&self, endpoint: SocketAddr) {
-        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = lock(&self.running);
         *running.entry(endpoint).or_default() += 1;
     }
 
     /// Counts a request that ended on `endpoint`.
     pub(super) fn end(&self, endpoint: SocketAddr) {
-        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = lock(&self.running);
         if let Some(count) = running.get_mut(&endpoint) {
             *count -= 1;
             if *count == 0 {
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -1,7 +1,7 @@
 //! The right to run one request on an endpoint.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::VmName;
@@ -10,6 +10,7 @@
 
 use super::{BookId, Slots};
 use crate::wire::{self, Body};
+use crate::sync::lock;
 
 /// When a permit is extended for the first time. Its first lease of 500 ms
 /// leaves 300 ms for the way to another region and back.
@@ -208,7 +209,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -31,6 +31,7 @@
 use crate::request::{Cause, Refusal};
 use crate::version::{InForce, ServiceName};
 use crate::wire::{self, Body, DeniedCause};
+use crate::sync::lock;
 
 /// Longest wait in a slot book. A longer queue only makes every request late.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
@@ -535,7 +536,7 @@
 
 impl Shared {
     fn books(&self) -> MutexGuard<'_, HashMap<BookId, Book>> {
-        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.books)
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/spill.rs
+++ b/crates/filbertgrade/src/process/entry/spill.rs
@@ -1,13 +1,14 @@
 //! Requests that run in another region than the one that the weights chose.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
 use filbertgrade_coord::spill::{SpillConfig, SpillLimit};
 
 use super::slots::SlotAsk;
 use crate::version::{InForce, ServiceName};
+use crate::sync::lock;
 
 /// The limits of all services at this entry.
 #[derive(Debug, Default)]
@@ -46,7 +47,7 @@
     }
 
     fn limits(&self) -> MutexGuard<'_, HashMap<ServiceName, SpillLimit>> {
-        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.limits)
     }
 }
 
--- a/crates/filbertgrade/src/request/upload.rs
+++ b/crates/filbertgrade/src/request/upload.rs
@@ -2,13 +2,14 @@
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
+use crate::sync::lock;
 
 /// Largest body in bytes that is kept, so that it can be sent again.
 pub const KEPT_BYTES: usize = 64 * 1024;
@@ -161,7 +162,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Source<B>> {
-        self.source.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.source)
     }
 }
 
@@ -236,7 +237,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, UploadFault>>> {
         let this = &mut *self;
-        let mut source = this.source.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut source = lock(&this.source);
         if source.attempt != this.attempt {
             return Poll::Ready(Some(Err(UploadFault::Superseded)));
         }
@@ -269,7 +270,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        let source = lock(&self.source);
         match source.size {
             Some(size) => SizeHint::with_exact(size.saturating_sub(self.bytes)),
             None => SizeHint::default(),
