--- a/crates/filbertgrade/src/connection/link.rs
+++ b/crates/filbertgrade/src/connection/link.rs
@@ -14,8 +14,8 @@
 
 use super::frame::{FrameCodec, FrameError};
 use crate::logfmt;
-use crate::wire::{Body, Frame};
 use crate::sync::lock;
+use crate::wire::{Body, Frame};
 
 /// Frames that may wait for a slow peer before senders wait too.
 const QUEUED_FRAMES: usize = 256;
--- a/crates/filbertgrade/src/connection/pool.rs
+++ b/crates/filbertgrade/src/connection/pool.rs
@@ -217,8 +217,7 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        let mut endpoints = self
-            lock(&.endpoints);
+        let mut endpoints = lock(&self.endpoints);
         if let Some(endpoint) = endpoints.get_mut(&self.endpoint) {
             endpoint.open = endpoint.open.saturating_sub(1);
         }
--- a/crates/filbertgrade/src/process/agent/dump.rs
+++ b/crates/filbertgrade/src/process/agent/dump.rs
@@ -1,6 +1,6 @@
 //! What the agent's operator port shows.
 
-use std::sync::{Arc};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -33,8 +33,7 @@
 fn describe(agent: &Agent) -> Value {
     let report = lock(&agent.report);
     let report = report.clone();
-    let reported_at = *agent
-        lock(&.reported_at);
+    let reported_at = *lock(&agent.reported_at);
     let state = agent.state();
     json!({
         "role": "agent",
--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -24,9 +24,9 @@
 use crate::platform::{HttpPlatform, Platform, Revision};
 use crate::process::operator;
 use crate::process::settings::NodeSettings;
+use crate::sync::lock;
 use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::Report;
-use crate::sync::lock;
 
 /// Longest wait before the entry's request for state is answered.
 ///
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -15,9 +15,9 @@
 use super::links::PeerLinks;
 use crate::logfmt;
 use crate::request::{Cause, Refusal};
+use crate::sync::{lock, read, write};
 use crate::version::InForce;
 use crate::wire::{Body, Borrow, Loan};
-use crate::sync::{lock, read, write};
 
 /// Longest wait for a token. A longer queue would only delay the refusal.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
--- a/crates/filbertgrade/src/process/entry/answer.rs
+++ b/crates/filbertgrade/src/process/entry/answer.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
@@ -125,10 +125,6 @@
     held.slot = None;
 }
 
-fn lock(held: &Mutex<Held>) -> MutexGuard<'_, Held> {
-    lock(&held)
-}
-
 impl Drop for AnswerStream {
     fn drop(&mut self) {
         self.timer.abort();
--- a/crates/filbertgrade/src/process/entry/links.rs
+++ b/crates/filbertgrade/src/process/entry/links.rs
@@ -1,15 +1,15 @@
 //! Links to the entries of the other VMs.
 
 use std::net::SocketAddr;
-use std::sync::{RwLock};
+use std::sync::RwLock;
 
 use filbertgrade_coord::names::VmName;
 use indexmap::IndexMap;
 
 use crate::connection::PeerLink;
 use crate::process::settings::NodeSettings;
-use crate::version::InForce;
 use crate::sync::{read, write};
+use crate::version::InForce;
 
 /// One link for each VM of the platform's list but the own one.
 #[derive(Debug)]
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -33,8 +33,8 @@
 use crate::process::settings::NodeSettings;
 use crate::process::tasks::Tasks;
 use crate::request::{Guard, RetryBudget};
-use crate::version::InForce;
 use crate::sync::lock;
+use crate::version::InForce;
 
 /// Time between looks for connections that waited too long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/filbertgrade/src/process/entry/slots/fallback.rs
+++ b/crates/filbertgrade/src/process/entry/slots/fallback.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex};
+use std::sync::Mutex;
 
-use rand::seq::IndexedRandom;
 use crate::sync::lock;
+use rand::seq::IndexedRandom;
 
 /// Requests that this VM runs on each endpoint.
 #[derive(Debug, Default)]
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -9,8 +9,8 @@
 use tokio::task::JoinHandle;
 
 use super::{BookId, Slots};
-use crate::wire::{self, Body};
 use crate::sync::lock;
+use crate::wire::{self, Body};
 
 /// When a permit is extended for the first time. Its first lease of 500 ms
 /// leaves 300 ms for the way to another region and back.
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -29,9 +29,9 @@
 use crate::logfmt;
 use crate::process::settings::NodeSettings;
 use crate::request::{Cause, Refusal};
+use crate::sync::lock;
 use crate::version::{InForce, ServiceName};
 use crate::wire::{self, Body, DeniedCause};
-use crate::sync::lock;
 
 /// Longest wait in a slot book. A longer queue only makes every request late.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
--- a/crates/filbertgrade/src/process/entry/spill.rs
+++ b/crates/filbertgrade/src/process/entry/spill.rs
@@ -7,8 +7,8 @@
 use filbertgrade_coord::spill::{SpillConfig, SpillLimit};
 
 use super::slots::SlotAsk;
-use crate::version::{InForce, ServiceName};
 use crate::sync::lock;
+use crate::version::{InForce, ServiceName};
 
 /// The limits of all services at this entry.
 #[derive(Debug, Default)]
--- a/crates/filbertgrade/src/request/upload.rs
+++ b/crates/filbertgrade/src/request/upload.rs
@@ -6,10 +6,10 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use crate::sync::lock;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
-use crate::sync::lock;
 
 /// Largest body in bytes that is kept, so that it can be sent again.
 pub const KEPT_BYTES: usize = 64 * 1024;
