Serve the users' platform with one process a VM

Cause: the product had no process that speaks the platform's calls. The entry and agent pair keeps two copies of the state and a runtime of several threads each, while a VM has 0.2 of one core.

Ruled out: slot books and loans between VMs, which need messages for each request; all nodes rank endpoints by the same hash instead.

--- a/crates/filbertgrade-coord/src/lib.rs
+++ b/crates/filbertgrade-coord/src/lib.rs
@@ -13,6 +13,8 @@
 //!   whether the copy may be relied on.
 //! - [`lease`] gives one process at a time a task, with a fencing token, and
 //!   [`rendezvous`] divides tasks without agreement.
+//! - [`steering`] decides where one VM sends a request, and when it refuses it,
+//!   without a message to another VM.
 //! - [`weights`] moves traffic between regions in capped steps.
 //! - [`names`] holds the checked names that all of them use.
 //!
@@ -64,5 +66,6 @@
 pub mod share_table;
 pub mod slots;
 pub mod spill;
+pub mod steering;
 pub mod versioned;
 pub mod weights;
--- a/crates/filbertgrade-coord/src/names.rs
+++ b/crates/filbertgrade-coord/src/names.rs
@@ -83,6 +83,14 @@
     /// Name of one backend server endpoint, unique in its service and region.
     EndpointName
 );
+name!(
+    /// Name of a service, unique in the fleet.
+    ServiceName
+);
+name!(
+    /// Name of a route, unique in its configuration.
+    RouteName
+);
 
 /// The error of a string that is not a valid name.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- /dev/null
+++ b/crates/filbertgrade-coord/src/steering/mod.rs
@@ -0,0 +1,33 @@
+//! Where one VM sends a request, and when it refuses it.
+//!
+//! All decisions here are plain functions of state and `now`. VMs reach the
+//! same placement without a message, because they rank endpoints by the same
+//! hash; what a VM knows beyond that comes from its own requests.
+//!
+//! - [`deployment`] is the configuration that operators have put in force.
+//! - [`endpoint`] and [`registry`] hold the endpoints that exist.
+//! - [`placement`] ranks the endpoints of a service for an object. It answers
+//!   the steady load, in which an endpoint that handled an object recently is
+//!   several times as fast.
+//! - [`balancer`] picks an endpoint from the ranking, or refuses. It answers
+//!   overload, slow and failing endpoints.
+//! - [`quota`] keeps a team within its rate over all VMs, and answers one team
+//!   that sends several times its rate.
+//! - [`retry`] bounds what repeats add to a service that is already failing.
+//! - [`cold`] bounds what an endpoint gets that has just started.
+//! - [`evidence`] tells how current the copy of the store is.
+//! - [`settings`] is what the platform tells a VM at its start.
+//! - [`members`] tells which VMs callers should be sent to.
+
+pub mod balancer;
+pub mod cold;
+pub mod deployment;
+pub mod endpoint;
+pub mod evidence;
+pub mod members;
+pub mod placement;
+pub mod quota;
+pub mod registry;
+pub mod retry;
+pub mod settings;
+mod window;
--- a/crates/filbertgrade/src/connection/backend.rs
+++ b/crates/filbertgrade/src/connection/backend.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub struct Idle {
     proven_at: Instant,
+    /// How long after the proof it may still be used.
+    idle_limit: Duration,
 }
 
 /// A request runs.
@@ -118,23 +120,26 @@
         self.with(state)
     }
 
-    /// Puts the connection to rest.
+    /// Puts the connection to rest, for `idle_limit` at most.
     #[must_use]
-    pub fn rest(self) -> Connection<Idle> {
+    pub fn rest(self, idle_limit: Duration) -> Connection<Idle> {
         let proven_at = self.state.at;
-        self.with(Idle { proven_at })
+        self.with(Idle {
+            proven_at,
+            idle_limit,
+        })
     }
 }
 
 impl Connection<Idle> {
-    /// The connection, if its last proof of life is recent.
+    /// The connection, if its last proof of life is at most `proof_age` old.
     ///
     /// # Errors
     ///
     /// Gives it back when the proof is too old.
-    pub fn proven(self, now: Instant) -> Result<Connection<Proven>, Self> {
+    pub fn proven(self, now: Instant, proof_age: Duration) -> Result<Connection<Proven>, Self> {
         let at = self.state.proven_at;
-        if now.saturating_duration_since(at) <= PROOF_AGE {
+        if now.saturating_duration_since(at) <= proof_age {
             Ok(self.with(Proven { at, reused: true }))
         } else {
             Err(self)
@@ -164,6 +169,12 @@
         now.saturating_duration_since(self.state.proven_at)
     }
 
+    /// The connection has waited longer than it may.
+    #[must_use]
+    pub fn is_expired(&self, now: Instant) -> bool {
+        self.age(now) > self.state.idle_limit
+    }
+
     /// Closes the connection, and returns when it is closed.
     pub async fn close_idle(mut self) {
         self.driver.stop().await;
--- a/crates/filbertgrade/src/connection/mod.rs
+++ b/crates/filbertgrade/src/connection/mod.rs
@@ -12,5 +12,5 @@
 pub use frame::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 pub(crate) use link::connect;
 pub use link::{LinkError, PeerLink, serve_frames};
-pub use pool::{Need, Pool, PoolError};
+pub use pool::{Need, Pool, PoolError, PoolLimits};
 pub use watched::{ByteCount, WatchedIo};
--- a/crates/filbertgrade/src/connection/pool.rs
+++ b/crates/filbertgrade/src/connection/pool.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::Notify;
 
-use super::backend::{Busy, Connection, Idle, Proven};
+use super::backend::{Busy, Connection, Idle, PROOF_AGE, Proven};
 use crate::sync::lock;
 
 /// How long a connection may wait for its next request. Backend servers close
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct Pool {
     local: IpAddr,
+    limits: PoolLimits,
     endpoints: Arc<Mutex<HashMap<SocketAddr, Endpoint>>>,
     /// Wakes requests that wait for a connection.
     changed: Arc<Notify>,
@@ -33,6 +34,26 @@
     idle: Vec<Connection<Idle>>,
 }
 
+/// How long connections may wait for their next request.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Age of the last proof of life under a non-idempotent request. A longer
+    /// age saves connections; a request on a connection that went silent
+    /// meanwhile is lost.
+    pub proof_age: Duration,
+    /// Longest wait of a connection whose backend server tells no limit.
+    pub idle_limit: Duration,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            proof_age: PROOF_AGE,
+            idle_limit: IDLE_LIMIT,
+        }
+    }
+}
+
 /// What a request needs of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -81,11 +102,18 @@
 }
 
 impl Pool {
-    /// A pool whose connections come from `local`.
+    /// A pool whose connections come from `local`, with the default limits.
     #[must_use]
     pub fn new(local: IpAddr) -> Self {
+        Self::with_limits(local, PoolLimits::default())
+    }
+
+    /// A pool whose connections come from `local`.
+    #[must_use]
+    pub fn with_limits(local: IpAddr, limits: PoolLimits) -> Self {
         Self {
             local,
+            limits,
             endpoints: Arc::default(),
             changed: Arc::default(),
         }
@@ -104,7 +132,7 @@
             notified.as_mut().enable();
             match self.pick(need, Instant::now()) {
                 Pick::Try(connection) => {
-                    if let Some(connection) = start(connection, need).await {
+                    if let Some(connection) = self.start(connection, need).await {
                         return Ok(connection);
                     }
                 }
@@ -124,12 +152,18 @@
 
     /// Takes back a connection that delivered a whole answer.
     pub fn put_back(&self, connection: Connection<Proven>) {
+        self.put_back_for(connection, self.limits.idle_limit);
+    }
+
+    /// Takes back a connection that delivered a whole answer, and whose backend
+    /// server keeps it for longer than `idle_limit`.
+    pub fn put_back_for(&self, connection: Connection<Proven>, idle_limit: Duration) {
         let endpoint = connection.endpoint();
         self.lock()
             .entry(endpoint)
             .or_default()
             .idle
-            .push(connection.rest());
+            .push(connection.rest(idle_limit));
         self.changed.notify_waiters();
     }
 
@@ -160,7 +194,7 @@
         let endpoint = endpoints.entry(need.endpoint).or_default();
         let expired = endpoint.take_expired(now);
         let pick = endpoint
-            .take_usable(need, now)
+            .take_usable(need, self.limits.proof_age, now)
             .map(Pick::Try)
             .or_else(|| {
                 (endpoint.open < need.limit.max(1)).then(|| self.count_open(need, endpoint))
@@ -193,6 +227,21 @@
             })
     }
 
+    async fn start(
+        &self,
+        mut connection: Connection<Idle>,
+        need: &Need,
+    ) -> Option<Connection<Busy>> {
+        if !connection.is_ready().await {
+            return None;
+        }
+        match connection.proven(Instant::now(), self.limits.proof_age) {
+            Ok(connection) => Some(connection.start()),
+            Err(connection) if need.idempotent => Some(connection.start_idempotent()),
+            Err(_) => None,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Endpoint>> {
         lock(&self.endpoints)
     }
@@ -200,16 +249,21 @@
 
 impl Endpoint {
     /// The newest idle connection, if the request may run on it.
-    fn take_usable(&mut self, need: &Need, now: Instant) -> Option<Connection<Idle>> {
+    fn take_usable(
+        &mut self,
+        need: &Need,
+        proof_age: Duration,
+        now: Instant,
+    ) -> Option<Connection<Idle>> {
         let newest = self.idle.last()?;
-        let usable = need.idempotent || newest.age(now) <= super::backend::PROOF_AGE;
+        let usable = need.idempotent || newest.age(now) <= proof_age;
         if usable { self.idle.pop() } else { None }
     }
 
     fn take_expired(&mut self, now: Instant) -> Vec<Connection<Idle>> {
         let (expired, idle) = std::mem::take(&mut self.idle)
             .into_iter()
-            .partition(|c| c.is_closed() || c.age(now) > IDLE_LIMIT);
+            .partition(|c| c.is_closed() || c.is_expired(now));
         self.idle = idle;
         expired
     }
@@ -225,14 +279,3 @@
         self.changed.notify_waiters();
     }
 }
-
-async fn start(mut connection: Connection<Idle>, need: &Need) -> Option<Connection<Busy>> {
-    if !connection.is_ready().await {
-        return None;
-    }
-    match connection.proven(Instant::now()) {
-        Ok(connection) => Some(connection.start()),
-        Err(connection) if need.idempotent => Some(connection.start_idempotent()),
-        Err(_) => None,
-    }
-}
--- a/crates/filbertgrade/src/logfmt.rs
+++ b/crates/filbertgrade/src/logfmt.rs
@@ -33,3 +33,13 @@
         f.write_str("\"")
     }
 }
+
+/// Formats values as one value of a log line, separated by commas.
+pub(crate) fn list<T: fmt::Display>(values: &[T]) -> Value<String> {
+    let texts: Vec<String> = values.iter().map(T::to_string).collect();
+    value(if texts.is_empty() {
+        "none".to_owned()
+    } else {
+        texts.join(",")
+    })
+}
--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -5,15 +5,17 @@
 use filbertgrade::process::command::CommandError;
 use filbertgrade::process::command::flags::{Filbertgrade, FilbertgradeCmd};
 use filbertgrade::process::signals::StopSignals;
-use filbertgrade::process::{agent, command, entry};
+use filbertgrade::process::{agent, command, entry, logs, node};
 
 fn main() -> ExitCode {
     let flags = Filbertgrade::from_env_or_exit();
     init_logs(&flags.subcommand);
-    match run(flags) {
+    let code = match run(flags) {
         Ok(code) => code,
         Err(error) => report(&error),
-    }
+    };
+    logs::flush();
+    code
 }
 
 /// Typed errors name their cause themselves, so the chain is not printed.
@@ -28,8 +30,16 @@
         .map_or(ExitCode::FAILURE, |error| error.exit_code().into())
 }
 
+/// Port of a node for operators and metrics, unless a flag names another one.
+const METRICS_PORT: u16 = 9464;
+
 fn run(flags: Filbertgrade) -> anyhow::Result<ExitCode> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
+    let mut runtime = match flags.subcommand {
+        // A VM of a platform has a part of one core.
+        FilbertgradeCmd::Node(_) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = runtime
         .enable_all()
         .build()
         .map_err(|error| anyhow::anyhow!("cannot start the runtime: {error}"))?;
@@ -41,6 +51,10 @@
                 entry::run(flags.settings()?, signals.received()).await?;
             }
             FilbertgradeCmd::Agent(flags) => agent::run(flags.settings()?).await?,
+            FilbertgradeCmd::Node(flags) => {
+                let port = flags.metrics_port.unwrap_or(METRICS_PORT);
+                node::run(flags.settings, port).await?;
+            }
             FilbertgradeCmd::Dev(flags) => command::dev(&flags).await?,
             command => command::run(command).await?,
         }
@@ -52,20 +66,13 @@
 ///
 /// Daemons log at level info by default, commands only failures.
 fn init_logs(command: &FilbertgradeCmd) {
-    use std::io::Write;
-    let level = match command {
-        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) => "info",
-        _ => "error",
-    };
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
-        .format(|out, record| {
-            writeln!(
-                out,
-                "level={} target={} {}",
-                record.level().as_str().to_lowercase(),
-                record.target(),
-                record.args()
-            )
-        })
-        .init();
+    let daemon = matches!(
+        command,
+        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) | FilbertgradeCmd::Node(_)
+    );
+    if daemon {
+        logs::init("info");
+    } else {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    }
 }
--- a/crates/filbertgrade/src/process/command/flags.rs
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -61,6 +61,13 @@
             /// Port for operators at the agent.
             optional --agent-operator-port port: String
         }
+        /// Serves a platform that has a store of its own; one for each VM.
+        cmd node {
+            /// Settings file; FILBERTGRADE_SETTINGS by default.
+            optional --settings settings: PathBuf
+            /// Port for operators and metrics; default 9464.
+            optional --metrics-port metrics_port: u16
+        }
         /// Validates configuration files as one configuration.
         cmd check {
             /// Configuration files.
--- a/crates/filbertgrade/src/process/command/mod.rs
+++ b/crates/filbertgrade/src/process/command/mod.rs
@@ -25,7 +25,10 @@
 /// Fails as the command does; [`CommandError::exit_code`] tells scripts why.
 pub async fn run(command: FilbertgradeCmd) -> Result<(), CommandError> {
     match command {
-        FilbertgradeCmd::Entry(_) | FilbertgradeCmd::Agent(_) | FilbertgradeCmd::Dev(_) => Ok(()),
+        FilbertgradeCmd::Entry(_)
+        | FilbertgradeCmd::Agent(_)
+        | FilbertgradeCmd::Node(_)
+        | FilbertgradeCmd::Dev(_) => Ok(()),
         FilbertgradeCmd::Check(flags) => check::check(&flags.file),
         FilbertgradeCmd::Diff(flags) => {
             let settings = flags::command_settings(flags.store, None, None)?;
--- a/crates/filbertgrade/src/process/entry/carry.rs
+++ b/crates/filbertgrade/src/process/entry/carry.rs
@@ -237,6 +237,7 @@
             replayable: call.upload.is_replayable(),
             earlier_may_have_run: may_have_run,
             attempts,
+            most_attempts: request::MOST_ATTEMPTS,
             budget: entry.with_budget(|budget| budget.has_room(now)),
             deadline: call.deadline,
             now,
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -3,6 +3,8 @@
 pub mod agent;
 pub mod command;
 pub mod entry;
+pub mod logs;
+pub mod node;
 pub(crate) mod operator;
 pub mod settings;
 pub mod signals;
--- /dev/null
+++ b/crates/filbertgrade/src/process/node/dump.rs
@@ -0,0 +1,84 @@
+//! What a node shows operators.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use filbertgrade_coord::names::VmName;
+use serde_json::{Value, json};
+
+use super::Node;
+use crate::process::operator::OperatorPort;
+use crate::sync::lock;
+
+/// The operator port of a node.
+pub(super) fn operator_port(node: &Arc<Node>) -> OperatorPort {
+    let part = |show: fn(&Node) -> Value| {
+        let node = Arc::clone(node);
+        move || show(&node)
+    };
+    let ready = Arc::clone(node);
+    let gauges = Arc::clone(node);
+    OperatorPort::new(move || {
+        if ready.is_ready(Instant::now()) {
+            Ok(())
+        } else {
+            Err("no current configuration, or leaving")
+        }
+    })
+    .part("node", part(show_node))
+    .part("vms", part(show_vms))
+    .part("endpoints", part(show_endpoints))
+    .gauges(move || set_gauges(&gauges))
+}
+
+fn set_gauges(node: &Node) {
+    let now = Instant::now();
+    let version = node.deployment.load().as_ref().map_or(0, |d| d.version);
+    metrics::gauge!("configuration_version").set(version as f64);
+    let age = lock(&node.evidence).age(now);
+    metrics::gauge!("configuration_age_seconds").set(age.map_or(f64::NAN, |a| a.as_secs_f64()));
+    metrics::gauge!("requests_running").set(node.requests.count() as f64);
+    metrics::gauge!("caller_connections").set(node.callers.count() as f64);
+    metrics::gauge!("vms_running").set(lock(&node.members).running(now).len() as f64);
+    metrics::gauge!("body_bytes_free").set(node.bodies.left() as f64);
+}
+
+fn show_node(node: &Node) -> Value {
+    let now = Instant::now();
+    let settings = node.settings.load();
+    json!({
+        "vm": settings.vm.as_str(),
+        "incarnation": node.incarnation,
+        "ready": node.is_ready(now),
+        "leaving": node.is_leaving(),
+        "configuration_version": node.deployment.load().as_ref().map(|d| d.version),
+        "configuration_age_ms": lock(&node.evidence).age(now).map(|a| a.as_millis() as u64),
+        "requests": node.requests.count(),
+    })
+}
+
+fn show_vms(node: &Node) -> Value {
+    let running = lock(&node.members).running(Instant::now());
+    running.iter().map(VmName::as_str).collect()
+}
+
+fn show_endpoints(node: &Node) -> Value {
+    let now = Instant::now();
+    lock(&node.balancer)
+        .beliefs(now)
+        .map(|belief| {
+            json!({
+                "id": &*belief.endpoint.key.id,
+                "service": belief.endpoint.service.as_str(),
+                "address": belief.endpoint.address.to_string(),
+                "draining": belief.endpoint.draining,
+                "in_flight": belief.in_flight,
+                "load": belief.load,
+                "failures": belief.failures,
+                "slowness": belief.slowness,
+                "resting": belief.resting,
+                "cold": belief.cold,
+            })
+        })
+        .collect()
+}
--- a/crates/filbertgrade/src/process/signals.rs
+++ b/crates/filbertgrade/src/process/signals.rs
@@ -9,6 +9,15 @@
     interrupt: Signal,
 }
 
+/// SIGHUP, which tells a daemon that its settings may have changed.
+///
+/// # Errors
+///
+/// Fails when the operating system refuses.
+pub(crate) fn reload_signal() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
 impl StopSignals {
     /// Receives the signals from now on, instead of being ended by them.
     ///
--- a/crates/filbertgrade/src/request/decision.rs
+++ b/crates/filbertgrade/src/request/decision.rs
@@ -27,6 +27,8 @@
     Shed,
     /// The backend server refused because it is draining.
     Draining,
+    /// Another backend server has the address, and refused.
+    Mismatched,
     /// What the backend server sent is not an answer whose end can be told.
     Malformed,
     /// The caller's body came too slowly.
@@ -50,6 +52,8 @@
     pub earlier_may_have_run: bool,
     /// Attempts so far, with the failed one.
     pub attempts: u32,
+    /// Endpoints that the request may be sent to.
+    pub most_attempts: u32,
     /// The retry budget has room for one more.
     pub budget: bool,
     /// The caller's deadline.
@@ -118,7 +122,7 @@
     !lasting
         && permitted
         && situation.replayable
-        && situation.attempts < MOST_ATTEMPTS
+        && situation.attempts < situation.most_attempts
         && situation.now < situation.deadline
 }
 
@@ -126,7 +130,7 @@
     /// The backend server said that it did not run the request.
     #[must_use]
     pub fn is_explicit_refusal(self) -> bool {
-        matches!(self, Self::Shed | Self::Draining)
+        matches!(self, Self::Shed | Self::Draining | Self::Mismatched)
     }
 
     /// The endpoint failed, not only one old connection to it.
@@ -145,7 +149,7 @@
             | Self::AnswerCut => Cause::BackendFailed,
             Self::ConnectionSilent | Self::DeadlinePassed => Cause::BackendSilent,
             Self::Shed => Cause::Busy,
-            Self::Draining => Cause::NoEndpoint,
+            Self::Draining | Self::Mismatched => Cause::NoEndpoint,
             Self::CallerSlow => Cause::SlowBody,
             Self::CallerGone => Cause::BadRequest,
         }
--- a/crates/filbertgrade/src/request/refusal.rs
+++ b/crates/filbertgrade/src/request/refusal.rs
@@ -33,6 +33,10 @@
 pub enum Cause {
     /// The path names no service.
     UnknownService,
+    /// Host and path lead to no route.
+    UnknownRoute,
+    /// The body is larger than allowed.
+    BodyTooLarge,
     /// No key came with the request, or it is not well-formed.
     KeyMissing,
     /// The key is unknown or was withdrawn.
@@ -128,7 +132,8 @@
     #[must_use]
     pub fn status(&self) -> StatusCode {
         match self.cause {
-            Cause::UnknownService => StatusCode::NOT_FOUND,
+            Cause::UnknownService | Cause::UnknownRoute => StatusCode::NOT_FOUND,
+            Cause::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::KeyMissing | Cause::KeyRefused => StatusCode::UNAUTHORIZED,
             Cause::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Cause::AlreadyAttempted => StatusCode::CONFLICT,
@@ -153,6 +158,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::UnknownService => "unknown_service",
+            Self::UnknownRoute => "unknown_route",
+            Self::BodyTooLarge => "body_too_large",
             Self::KeyMissing => "key_missing",
             Self::KeyRefused => "key_refused",
             Self::Isolated => "isolated",
--- a/crates/filbertgrade/tests/path/decisions.rs
+++ b/crates/filbertgrade/tests/path/decisions.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use filbertgrade::request::{
-    AttemptState, Failure, LONGEST_DEADLINE, NextStep, RetryBudget, Situation, deadline_of,
-    idempotency_key_of, next_step,
+    AttemptState, Failure, LONGEST_DEADLINE, MOST_ATTEMPTS, NextStep, RetryBudget, Situation,
+    deadline_of, idempotency_key_of, next_step,
 };
 use http::{HeaderMap, HeaderValue};
 use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, prop_assume, proptest};
@@ -20,6 +20,7 @@
         Failure::DeadlinePassed,
         Failure::Shed,
         Failure::Draining,
+        Failure::Mismatched,
         Failure::Malformed,
         Failure::CallerSlow,
         Failure::CallerGone,
@@ -49,6 +50,7 @@
                 replayable,
                 earlier_may_have_run,
                 attempts,
+                most_attempts: MOST_ATTEMPTS,
                 budget,
                 deadline,
                 now,
@@ -58,7 +60,10 @@
 }
 
 fn is_explicit(failure: Failure) -> bool {
-    matches!(failure, Failure::Shed | Failure::Draining)
+    matches!(
+        failure,
+        Failure::Shed | Failure::Draining | Failure::Mismatched
+    )
 }
 
 proptest! {
