Keep an object at two endpoints, and elsewhere only with free slots

Cause: an endpoint remembers few objects, and five of them were tried for each object as soon as the first had a short queue.

--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -19,12 +19,9 @@
 use super::retry::{RetryBudget, RetryConfig};
 use crate::names::{FailureDomainName, RegionName, ServiceName, VmName};
 
-/// Endpoints of the object's region that are considered first. They hold the
-/// object after a while of overload; more would push other objects out.
-const NEAR_CHOICES: usize = 3;
-
-/// Endpoints of other regions that are considered first.
-const FAR_CHOICES: usize = 2;
+/// Endpoints that may come to remember an object. With more, endpoints that
+/// remember few objects forget them before the next request.
+const HOME_CHOICES: usize = 2;
 
 /// What each further place in the ranking counts, so that equal endpoints are
 /// taken in the same order by all VMs.
@@ -33,8 +30,12 @@
 /// Assumed round trip to another region before one was measured, in seconds.
 const FAR_ROUND_TRIP: f64 = 0.080;
 
-/// Time in which what a load report says of other VMs' requests fades.
-const REPORT_FADE: f64 = 1.0;
+/// Time in which the difference between a load report and the mean of the
+/// reports fades, in seconds; about that of a few requests.
+const REPORT_FADE: f64 = 0.7;
+
+/// Weight of one load report in their mean.
+const REPORT_WEIGHT: f64 = 0.1;
 
 /// Time in which the memory of failures and slowness fades by half, in
 /// seconds. Longer keeps endpoints out that have recovered.
@@ -55,8 +56,21 @@
 /// Range of an endpoint's slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.7..=30.0;
 
-/// Weight of one latency in the mean of a service.
-const LATENCY_WEIGHT: f64 = 0.05;
+/// Step of a latency quantile for one sample, in parts of its value.
+const QUANTILE_STEP: f64 = 0.05;
+
+/// Quantile of first requests for an object that counts as the time of one.
+/// Some of them meet an object that other VMs sent, and are fast.
+const FIRST_QUANTILE: f64 = 0.75;
+
+/// Quantile of repeated requests that counts as the time of one. Some of them
+/// meet an endpoint that has forgotten the object, and are slow.
+const REPEAT_QUANTILE: f64 = 0.4;
+
+/// What it costs to have another endpoint handle an object that it does not
+/// remember, in parts of the time that a repeat saves. The endpoint forgets
+/// another object for it, whose next request is slow.
+const DISPLACEMENT: f64 = 0.6;
 
 /// Times of a first request for an object and of a repeated one, in parts of
 /// the target latency, before they are measured.
@@ -170,6 +184,8 @@
     pub slots: u32,
     /// It is assumed to remember the object.
     pub repeat: bool,
+    /// Place in the ranking of the endpoints for the object, from 0.
+    pub rank: usize,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
 }
@@ -221,9 +237,9 @@
     endpoints: IndexMap<EndpointKey, EndpointState>,
     split: RegionSplit,
     budget: RetryBudget,
-    /// Mean time in seconds of a first request for an object at an endpoint.
+    /// Time in seconds of a first request for an object at an endpoint.
     first: Option<f64>,
-    /// Mean time in seconds of a repeated one.
+    /// Time in seconds of a repeated one.
     repeat: Option<f64>,
     /// Most urgent rank seen lately, and when.
     urgent: Option<(u32, Instant)>,
@@ -236,8 +252,10 @@
     region: RegionName,
     /// Requests of this VM.
     in_flight: u32,
-    /// Requests of other VMs at a report.
+    /// Requests of other VMs at the last report.
     others: f64,
+    /// Requests of other VMs in the mean of the reports.
+    others_mean: f64,
     reported_at: Option<Instant>,
     /// Requests that it holds at most, learned from its refusals.
     capacity: f64,
@@ -405,17 +423,23 @@
         if order.is_empty() {
             return Pick::Refuse(NoPick::NoEndpoint);
         }
-        let first = (NEAR_CHOICES + FAR_CHOICES).min(order.len());
-        let choice = self
-            .best(service, ask, &order[..first], 0, now)
-            .filter(|choice| choice.cost <= ask.time_left.as_secs_f64() * TIME_USED)
-            .or_else(|| self.best(service, ask, &order[first..], first, now));
+        let home = HOME_CHOICES.min(order.len());
+        let first = self.best(service, ask, &order[..home], 0, now);
+        let choice = first
+            .filter(|choice| service.permits(ask, choice, now))
+            .or_else(|| {
+                self.best(service, ask, &order[home..], home, now)
+                    // Elsewhere the object pushes others out, so it goes there
+                    // only where it does not wait as well.
+                    .filter(|choice| first.is_none() || choice.wait <= 0.0)
+                    .filter(|choice| service.permits(ask, choice, now))
+            });
         match choice {
-            Some(choice) if service.permits(ask, &choice, now) => {
-                Pick::Send(self.begin(ask, choice, now))
+            Some(choice) => Pick::Send(self.begin(ask, choice, now)),
+            None => {
+                let wait = first.map_or(0.0, |choice| choice.wait);
+                Pick::Refuse(NoPick::Busy(come_back(wait, ask.object)))
             }
-            Some(choice) => Pick::Refuse(NoPick::Busy(come_back(choice.wait, ask.object))),
-            None => Pick::Refuse(NoPick::Busy(come_back(0.0, ask.object))),
         }
     }
 
@@ -479,15 +503,8 @@
         }
         near.sort_unstable();
         far.sort_unstable();
-        // The first choices hold some of each, so that the loss of a region
-        // does not leave only endpoints that are down.
-        let (first, rest) = near.split_at(NEAR_CHOICES.min(near.len()));
-        let (far_first, far_rest) = far.split_at(FAR_CHOICES.min(far.len()));
-        [first, far_first, rest, far_rest]
-            .concat()
-            .into_iter()
-            .map(|(_, index)| index)
-            .collect()
+        near.append(&mut far);
+        near.into_iter().map(|(_, index)| index).collect()
     }
 
     fn may_take(&self, state: &EndpointState, ask: &Ask<'_>) -> bool {
@@ -535,10 +552,13 @@
         let slots = f64::from(state.endpoint.slots);
         let mean = service.repeat_time(ask).min(service.first_time(ask));
         let wait = (load + 1.0 - slots).max(0.0) / slots * mean * slowness;
+        let saved = service.first_time(ask) - service.repeat_time(ask);
         let work = if repeat || !ask.sticky {
             service.repeat_time(ask)
-        } else {
+        } else if rank == 0 {
             service.first_time(ask)
+        } else {
+            service.first_time(ask) + saved * DISPLACEMENT
         };
         let cold = if state.is_cold(now) { 2.0 } else { 1.0 };
         let failures = state.faded(state.failures, 0.0, now);
@@ -577,6 +597,7 @@
             load: state.load(now),
             slots: state.endpoint.slots,
             repeat: choice.repeat,
+            rank: choice.rank,
             report_age: state
                 .reported_at
                 .map(|at| now.saturating_duration_since(at)),
@@ -678,10 +699,7 @@
 
     fn first_time(&self, ask: &Ask<'_>) -> f64 {
         let guess = ask.target_latency.as_secs_f64() * FIRST_GUESS;
-        // First requests of this VM may meet an object that another VM sent,
-        // which makes the mean too low.
-        let repeat = self.repeat_time(ask);
-        self.first.unwrap_or(guess).max(2.0 * repeat)
+        self.first.unwrap_or(guess).max(self.repeat_time(ask))
     }
 
     fn repeat_time(&self, ask: &Ask<'_>) -> f64 {
@@ -695,14 +713,16 @@
             // The time holds a wait for a slot.
             return;
         }
-        let mean = if target.repeat {
-            &mut self.repeat
+        let (quantile, part) = if target.repeat {
+            (&mut self.repeat, REPEAT_QUANTILE)
         } else {
-            &mut self.first
+            (&mut self.first, FIRST_QUANTILE)
         };
         let latency = latency.as_secs_f64();
-        let old = mean.unwrap_or(latency);
-        *mean = Some(old + (latency - old) * LATENCY_WEIGHT);
+        let old = quantile.unwrap_or(latency);
+        let up = latency > old;
+        let step = if up { part } else { part - 1.0 };
+        *quantile = Some(old * (1.0 + QUANTILE_STEP * step));
     }
 
     fn note_priority(&mut self, priority: u32, now: Instant) {
@@ -750,6 +770,7 @@
             region,
             in_flight: 0,
             others: 0.0,
+            others_mean: 0.0,
             reported_at: None,
             capacity: f64::from(endpoint.slots) * QUEUE_GUESS,
             failures: 0.0,
@@ -778,7 +799,8 @@
         let age = self.reported_at.map_or(f64::INFINITY, |at| {
             now.saturating_duration_since(at).as_secs_f64()
         });
-        f64::from(self.in_flight) + self.others * (-age / REPORT_FADE).exp()
+        let recent = (self.others - self.others_mean) * (-age / REPORT_FADE).exp();
+        f64::from(self.in_flight) + (self.others_mean + recent).max(0.0)
     }
 
     fn is_open(&self, now: Instant) -> bool {
@@ -808,6 +830,7 @@
     fn note_report(&mut self, report: LoadReport, now: Instant) {
         let requests = f64::from(report.requests);
         self.others = (requests - f64::from(self.in_flight)).max(0.0);
+        self.others_mean += (self.others - self.others_mean) * REPORT_WEIGHT;
         self.reported_at = Some(now);
         if report.slots > 0 {
             self.endpoint.slots = report.slots;
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -457,16 +457,17 @@
         Ok(answer) => answer,
         Err(refused) => return refuse(&call.head, &refused, call.arrived, &context),
     };
-    let (load, slots, repeat, expected) = progress
+    let (load, slots, repeat, rank, expected) = progress
         .last_target
         .as_ref()
-        .map_or((0.0, 0, false, 0), |t| {
-            (t.load, t.slots, t.repeat, t.expected.as_millis())
+        .map_or((0.0, 0, false, 0, 0), |t| {
+            (t.load, t.slots, t.repeat, t.rank, t.expected.as_millis())
         });
     log::info!(
-        "event=answered id={} {context} status={} ms={ms} expected_ms={expected} load={load:.1} slots={slots} repeat={repeat}",
+        "event=answered id={} {context} status={} ms={ms} expected_ms={expected} load={load:.1} slots={slots} repeat={repeat} rank={rank} object={:x}",
         call.id(),
         answer.status().as_u16(),
+        call.object,
     );
     metrics::counter!("requests_total", "outcome" => "answered").increment(1);
     metrics::histogram!("request_seconds").record(call.arrived.elapsed().as_secs_f64());
