Spread objects over endpoints and tell other VMs where they are

Cause: by hash alone an endpoint had between 0 and 7 of 25 objects of a region, and its requests waited while slots elsewhere were free (mean load of 3.3 at endpoints with 3 slots, at 45 % use of all slots).

Each object now has one home. The first VM that meets an object picks the one with the fewest objects and least load among three endpoints of its region and three others, where distance counts, and tells the other VMs in a heartbeat.

--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -15,13 +15,23 @@
 use super::cold::{ColdLimit, cold_senders};
 use super::deployment::Deployment;
 use super::endpoint::{Endpoint, EndpointKey};
-use super::placement::{RegionSplit, endpoint_hash, score, unit};
+use super::homes::{Home, Homes};
+use super::placement::{endpoint_hash, score, unit};
 use super::retry::{RetryBudget, RetryConfig};
 use crate::names::{FailureDomainName, RegionName, ServiceName, VmName};
 
-/// Endpoints that may come to remember an object. With more, endpoints that
-/// remember few objects forget them before the next request.
-const HOME_CHOICES: usize = 2;
+/// Endpoints, in the caller's region and elsewhere, of which a new object gets
+/// the one with the fewest objects. More spread objects more evenly, fewer let
+/// VMs agree that were not told.
+const HOME_CHOICES: usize = 3;
+
+/// Objects that an endpoint may have more than another of the same size before
+/// a new object goes to the other one. It keeps to the ranking otherwise.
+const HOME_MARGIN: f64 = 1.0;
+
+/// Objects for each slot that a region may have more than another one, for
+/// each time that the work of a request fits into the round trip between them.
+const DISTANCE_WEIGHT: f64 = 2.0;
 
 /// What each further place in the ranking counts, so that equal endpoints are
 /// taken in the same order by all VMs.
@@ -129,6 +139,8 @@
     vms: Vec<VmName>,
     /// When an object was last handled by an endpoint, by their hashes.
     objects: HashMap<(u64, u64), Instant>,
+    /// Which endpoint handles each object.
+    homes: Homes,
     /// Round trips to other regions in seconds.
     round_trips: HashMap<RegionName, f64>,
 }
@@ -235,7 +247,6 @@
 #[derive(Debug)]
 struct ServiceState {
     endpoints: IndexMap<EndpointKey, EndpointState>,
-    split: RegionSplit,
     budget: RetryBudget,
     /// Time in seconds of a first request for an object at an endpoint.
     first: Option<f64>,
@@ -300,6 +311,7 @@
             evacuated: HashSet::new(),
             vms,
             objects: HashMap::new(),
+            homes: Homes::default(),
             round_trips: HashMap::new(),
         }
     }
@@ -357,7 +369,6 @@
         for service in self.services.values_mut() {
             service.endpoints.sort_unstable_keys();
         }
-        self.divide_regions();
         self.renew_cold_limits(now);
     }
 
@@ -378,7 +389,6 @@
                 }
             }
         }
-        self.divide_regions();
         self.renew_cold_limits(now);
     }
 
@@ -419,21 +429,21 @@
         let Some(service) = self.services.get(ask.service) else {
             return Pick::Refuse(NoPick::NoEndpoint);
         };
-        let order = self.order(service, ask);
+        let order = self.order(service, ask, now);
         if order.is_empty() {
             return Pick::Refuse(NoPick::NoEndpoint);
         }
-        let home = HOME_CHOICES.min(order.len());
-        let first = self.best(service, ask, &order[..home], 0, now);
+        let first = self.best(service, ask, &order[..1], 0, now);
+        let others = || {
+            self.best(service, ask, &order[1..], 1, now)
+                // Elsewhere the object pushes others out, so it goes there
+                // only where it does not wait as well.
+                .filter(|choice| first.is_none() || choice.wait <= 0.0)
+                .filter(|choice| service.permits(ask, choice, now))
+        };
         let choice = first
             .filter(|choice| service.permits(ask, choice, now))
-            .or_else(|| {
-                self.best(service, ask, &order[home..], home, now)
-                    // Elsewhere the object pushes others out, so it goes there
-                    // only where it does not wait as well.
-                    .filter(|choice| first.is_none() || choice.wait <= 0.0)
-                    .filter(|choice| service.permits(ask, choice, now))
-            });
+            .or_else(others);
         match choice {
             Some(choice) => Pick::Send(self.begin(ask, choice, now)),
             None => {
@@ -470,6 +480,18 @@
         state.note_outcome(target, outcome, now)
     }
 
+    /// Takes homes of objects that another VM told.
+    pub fn heard_homes(&mut self, homes: Vec<Home>, now: Instant) {
+        for home in homes {
+            self.homes.heard(home, now);
+        }
+    }
+
+    /// Homes of objects that are to be told to other VMs.
+    pub fn homes(&mut self) -> &mut Homes {
+        &mut self.homes
+    }
+
     /// Endpoints by service with what is believed of them, for a dump.
     pub fn beliefs(&self, now: Instant) -> impl Iterator<Item = Belief<'_>> {
         self.services.values().flat_map(move |service| {
@@ -486,8 +508,7 @@
     }
 
     /// Indexes of the endpoints that may take the request, best first.
-    fn order(&self, service: &ServiceState, ask: &Ask<'_>) -> Vec<usize> {
-        let region = service.split.region(&self.cfg.region, ask.object);
+    fn order(&self, service: &ServiceState, ask: &Ask<'_>, now: Instant) -> Vec<usize> {
         let mut near = Vec::with_capacity(service.endpoints.len());
         let mut far = Vec::new();
         for (index, state) in service.endpoints.values().enumerate() {
@@ -495,7 +516,7 @@
                 continue;
             }
             let entry = (std::cmp::Reverse(score(ask.object, state.hash)), index);
-            if Some(&state.region) == region {
+            if state.region == self.cfg.region {
                 near.push(entry);
             } else {
                 far.push(entry);
@@ -504,7 +525,49 @@
         near.sort_unstable();
         far.sort_unstable();
         near.append(&mut far);
-        near.into_iter().map(|(_, index)| index).collect()
+        let mut order: Vec<usize> = near.into_iter().map(|(_, index)| index).collect();
+        if ask.sticky
+            && let Some(place) = self.home(service, ask, &order, now)
+        {
+            order[..=place].rotate_right(1);
+        }
+        order
+    }
+
+    /// The place in the ranking of the endpoint that handles the object, or
+    /// that a new object should go to.
+    fn home(
+        &self,
+        service: &ServiceState,
+        ask: &Ask<'_>,
+        order: &[usize],
+        now: Instant,
+    ) -> Option<usize> {
+        let state = |place: usize| &service.endpoints[order[place]];
+        if let Some(home) = self.homes.get(ask.object)
+            && let Some(place) = (0..order.len()).find(|place| state(*place).hash == home)
+        {
+            return Some(place);
+        }
+        let near = order
+            .iter()
+            .take_while(|index| service.endpoints[**index].region == self.cfg.region)
+            .count();
+        let near_choices = 0..near.min(HOME_CHOICES);
+        let far_choices = near..(near + HOME_CHOICES).min(order.len());
+        let repeat = service.repeat_time(ask);
+        let burden = |place: usize| {
+            let state = state(place);
+            let slots = f64::from(state.endpoint.slots);
+            let objects = f64::from(self.homes.count(state.hash)) + state.load(now);
+            let margin = if place == 0 { 0.0 } else { HOME_MARGIN };
+            let distance = self.round_trip(&state.region) / repeat * DISTANCE_WEIGHT;
+            (objects + margin) / slots + distance
+        };
+        near_choices
+            .chain(far_choices)
+            .filter(|place| state(*place).is_open(now))
+            .min_by(|a, b| burden(*a).total_cmp(&burden(*b)))
     }
 
     fn may_take(&self, state: &EndpointState, ask: &Ask<'_>) -> bool {
@@ -585,6 +648,7 @@
         let round_trip = |region: &RegionName| self.round_trip(region);
         let service = &self.services[ask.service];
         let state = &service.endpoints[choice.index];
+        let hash = state.hash;
         let target = Target {
             service: ask.service.clone(),
             key: state.endpoint.key.clone(),
@@ -602,6 +666,9 @@
                 .reported_at
                 .map(|at| now.saturating_duration_since(at)),
         };
+        if ask.sticky && ask.tried.is_empty() {
+            self.homes.met(ask.object, hash, now);
+        }
         if let Some(state) = self
             .services
             .get_mut(ask.service)
@@ -628,20 +695,6 @@
             .is_some_and(|at| now.saturating_duration_since(*at) <= OBJECT_MEMORY)
     }
 
-    fn divide_regions(&mut self) {
-        let mut regions: Vec<RegionName> = self.cfg.regions.values().cloned().collect();
-        regions.sort();
-        regions.dedup();
-        let demand: Vec<(RegionName, f64)> = regions.iter().map(|r| (r.clone(), 1.0)).collect();
-        for service in self.services.values_mut() {
-            let capacity: Vec<(RegionName, f64)> = regions
-                .iter()
-                .map(|region| (region.clone(), service.slots_in(region, &self.evacuated)))
-                .collect();
-            service.split = RegionSplit::new(&capacity, &demand);
-        }
-    }
-
     fn renew_cold_limits(&mut self, now: Instant) {
         for (name, service) in &mut self.services {
             let rate = self
@@ -689,7 +742,6 @@
     fn new(retry: RetryConfig) -> Self {
         Self {
             endpoints: IndexMap::new(),
-            split: RegionSplit::default(),
             budget: RetryBudget::new(retry),
             first: None,
             repeat: None,
@@ -748,18 +800,6 @@
         });
         !urgent || choice.wait <= ask.target_latency.as_secs_f64() * LESS_URGENT_WAIT
     }
-
-    fn slots_in(&self, region: &RegionName, evacuated: &HashSet<FailureDomainName>) -> f64 {
-        self.endpoints
-            .values()
-            .filter(|state| {
-                state.region == *region
-                    && !state.endpoint.draining
-                    && !evacuated.contains(&state.endpoint.failure_domain)
-            })
-            .map(|state| f64::from(state.endpoint.slots))
-            .sum()
-    }
 }
 
 impl EndpointState {
--- a/crates/filbertgrade-coord/src/steering/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/mod.rs
@@ -9,6 +9,7 @@
 //! - [`placement`] ranks the endpoints of a service for an object. It answers
 //!   the steady load, in which an endpoint that handled an object recently is
 //!   several times as fast.
+//! - [`homes`] spreads objects evenly over the endpoints that rank highest.
 //! - [`balancer`] picks an endpoint from the ranking, or refuses. It answers
 //!   overload, slow and failing endpoints.
 //! - [`quota`] keeps a team within its rate over all VMs, and answers one team
@@ -24,6 +25,7 @@
 pub mod deployment;
 pub mod endpoint;
 pub mod evidence;
+pub mod homes;
 pub mod members;
 pub mod placement;
 pub mod quota;
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::{NameError, TeamName, VmName};
+use filbertgrade_coord::rendezvous;
+use filbertgrade_coord::steering::homes::Home;
 use filbertgrade_coord::steering::members::Heartbeat;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -18,6 +20,15 @@
 /// Time between two heartbeats. A VM counts as down after several of them.
 const INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between two heartbeats, when there are new homes.
+const NEWS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long after its start a node asks others for the homes that they know.
+const ASK_TIME: Duration = Duration::from_secs(2);
+
+/// Homes in one heartbeat.
+const MOST_HOMES: usize = 40;
+
 /// Longest datagram that passes common links in one piece.
 const MOST_BYTES: usize = 1_400;
 
@@ -37,6 +48,46 @@
     leaving: bool,
     #[prost(message, repeated, tag = "6")]
     demand: Vec<WireDemand>,
+    #[prost(message, repeated, tag = "7")]
+    homes: Vec<WireHome>,
+    /// The sender has just started and knows no homes.
+    #[prost(bool, tag = "8")]
+    wants_homes: bool,
+}
+
+/// Where an object is handled.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireHome {
+    #[prost(fixed64, tag = "1")]
+    object: u64,
+    #[prost(fixed64, tag = "2")]
+    endpoint: u64,
+    #[prost(uint64, tag = "3")]
+    change: u64,
+    #[prost(bool, tag = "4")]
+    confirmed: bool,
+}
+
+impl From<Home> for WireHome {
+    fn from(home: Home) -> Self {
+        Self {
+            object: home.object,
+            endpoint: home.endpoint,
+            change: home.change,
+            confirmed: home.confirmed,
+        }
+    }
+}
+
+impl From<WireHome> for Home {
+    fn from(wire: WireHome) -> Self {
+        Self {
+            object: wire.object,
+            endpoint: wire.endpoint,
+            change: wire.change,
+            confirmed: wire.confirmed,
+        }
+    }
 }
 
 /// Requests of one team that arrive at the sender.
@@ -55,6 +106,8 @@
     vm: VmName,
     heartbeat: Heartbeat,
     demand: HashMap<TeamName, f64>,
+    homes: Vec<Home>,
+    wants_homes: bool,
 }
 
 impl TryFrom<WireHeartbeat> for Received {
@@ -76,15 +129,22 @@
                 leaving: wire.leaving,
             },
             demand,
+            homes: wire.homes.into_iter().map(Home::from).collect(),
+            wants_homes: wire.wants_homes,
         })
     }
 }
 
-/// Sends heartbeats until the process ends.
+/// Sends heartbeats until the process ends, sooner when there are new homes.
 pub(super) async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut next = Instant::now();
     loop {
-        send_once(&node, &socket).await;
-        tokio::time::sleep(INTERVAL).await;
+        let now = Instant::now();
+        if now >= next || lock(&node.balancer).homes().has_news() {
+            send_once(&node, &socket).await;
+            next = now + INTERVAL;
+        }
+        tokio::time::sleep(NEWS_INTERVAL).await;
     }
 }
 
@@ -105,17 +165,26 @@
     }
 }
 
-fn encode(node: &Node, now: Instant) -> Vec<u8> {
+fn header(node: &Node, now: Instant) -> WireHeartbeat {
     let heartbeat = node.heartbeat(now);
-    let mut demand = lock(&node.quotas).demand(now);
-    // The teams with most requests go first, in case not all fit.
-    demand.sort_by(|a, b| b.1.total_cmp(&a.1));
-    let mut wire = WireHeartbeat {
+    WireHeartbeat {
         vm: node.settings.load().vm.as_str().to_owned(),
         incarnation: heartbeat.incarnation,
         number: node.next_heartbeat.fetch_add(1, Ordering::Relaxed),
         ready: heartbeat.ready,
         leaving: heartbeat.leaving,
+        ..WireHeartbeat::default()
+    }
+}
+
+fn encode(node: &Node, now: Instant) -> Vec<u8> {
+    let mut demand = lock(&node.quotas).demand(now);
+    // The teams with most requests go first, in case not all fit.
+    demand.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let homes = lock(&node.balancer).homes().take_news(MOST_HOMES);
+    let mut wire = WireHeartbeat {
+        homes: homes.into_iter().map(WireHome::from).collect(),
+        wants_homes: now.saturating_duration_since(node.started) < ASK_TIME,
         demand: demand
             .into_iter()
             .map(|(team, rate)| WireDemand {
@@ -123,6 +192,7 @@
                 rate: rate as f32,
             })
             .collect(),
+        ..header(node, now)
     };
     while wire.encoded_len() > MOST_BYTES && wire.demand.pop().is_some() {}
     wire.encode_to_vec()
@@ -144,18 +214,52 @@
             .ok()
             .and_then(|wire| Received::try_from(wire).ok());
         match received {
-            Some(received) => take(&node, received),
+            Some(received) => {
+                let asker = take(&node, received);
+                if let Some(asker) = asker {
+                    tell_homes(&node, &socket, &asker).await;
+                }
+            }
             None => log::warn!("event=heartbeat_malformed bytes={len}"),
         }
     }
 }
 
-fn take(node: &Node, received: Received) {
+/// Sends a node that has just started all homes.
+async fn tell_homes(node: &Node, socket: &UdpSocket, vm: &VmName) {
+    let address = lock(&node.members)
+        .peers()
+        .find(|member| member.vm == *vm)
+        .map(|member| member.heartbeats);
+    let Some(address) = address else {
+        return;
+    };
+    let now = Instant::now();
+    let homes = lock(&node.balancer).homes().all(now);
+    for part in homes.chunks(MOST_HOMES) {
+        let wire = WireHeartbeat {
+            homes: part.iter().copied().map(WireHome::from).collect(),
+            ..header(node, now)
+        };
+        if let Err(error) = socket.send_to(&wire.encode_to_vec(), address).await {
+            log::debug!(
+                "event=homes_not_sent peer={address} error={}",
+                logfmt::value(&error)
+            );
+        }
+    }
+}
+
+/// Takes a heartbeat. Returns its sender when this node is the one to tell it
+/// all homes.
+fn take(node: &Node, received: Received) -> Option<VmName> {
     let now = Instant::now();
     let Received {
         vm,
         heartbeat,
         demand,
+        homes,
+        wants_homes,
     } = received;
     if lock(&node.members).heard(&vm, heartbeat, now) {
         log::info!(
@@ -164,5 +268,18 @@
             heartbeat.leaving,
         );
     }
-    lock(&node.quotas).heard(vm, demand, now);
+    lock(&node.balancer).heard_homes(homes, now);
+    let mut asker = None;
+    if wants_homes {
+        let running = lock(&node.members).running(now);
+        let others = running.iter().filter(|name| **name != vm);
+        if rendezvous::owner(vm.as_str(), others) == Some(&node.settings.load().vm) {
+            asker = Some(vm.clone());
+        }
+    }
+    // A part of all homes carries no demand.
+    if !demand.is_empty() || !heartbeat.ready {
+        lock(&node.quotas).heard(vm, demand, now);
+    }
+    asker
 }
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -125,6 +125,7 @@
     pub(crate) requests: Tasks,
     leaving: watch::Sender<bool>,
     next_heartbeat: AtomicU64,
+    pub(crate) started: Instant,
     /// The store lists this process.
     pub(crate) listed: AtomicBool,
     /// Entries of all VMs in the store, with their revisions.
@@ -154,6 +155,7 @@
             requests: Tasks::default(),
             leaving: watch::Sender::new(false),
             next_heartbeat: AtomicU64::new(0),
+            started: Instant::now(),
             listed: AtomicBool::new(false),
             entries: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
