Limit requests that leave their region, and tell an own outage from the store's

Requests that leave their region for want of a slot have half of the shift cap. A VM whose peers reached the store during its outage drops what lapsed at once, and all watches are renewed when the store answers again.

--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -19,6 +19,7 @@
 use super::placement::{endpoint_hash, score, unit};
 use super::retry::{RetryBudget, RetryConfig};
 use crate::names::{FailureDomainName, RegionName, ServiceName, VmName};
+use crate::spill::{SpillConfig, SpillLimit};
 
 /// Endpoints, in the caller's region and elsewhere, of which a new object gets
 /// the one with the fewest objects. More spread objects more evenly, fewer let
@@ -115,6 +116,16 @@
 const RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
 
+/// Part of the shift cap that requests may use which leave their region for
+/// want of a free slot. The rest covers homes that move.
+const SPILL_USED: f64 = 0.5;
+
+/// Period over which a shift of requests between regions is limited.
+const SPILL_PERIOD: Duration = Duration::from_secs(2);
+
+/// Requests that may leave a region beyond the cap.
+const SPILL_ALLOWANCE: f64 = 3.0;
+
 /// What the balancer knows from settings.
 #[derive(Clone, Debug)]
 pub struct BalancerConfig {
@@ -126,6 +137,8 @@
     pub regions: HashMap<FailureDomainName, RegionName>,
     /// Limits of repeats for each service.
     pub retry: RetryConfig,
+    /// Part of a region's requests that may change their region in one period.
+    pub shift_cap: f64,
 }
 
 /// What one VM believes of all endpoints, and the decisions that follow.
@@ -248,6 +261,7 @@
 struct ServiceState {
     endpoints: IndexMap<EndpointKey, EndpointState>,
     budget: RetryBudget,
+    spill: SpillLimit,
     /// Time in seconds of a first request for an object at an endpoint.
     first: Option<f64>,
     /// Time in seconds of a repeated one.
@@ -362,7 +376,7 @@
             state.warm_up(endpoint.cold_for, now);
             self.services
                 .entry(endpoint.service.clone())
-                .or_insert_with(|| ServiceState::new(self.cfg.retry))
+                .or_insert_with(|| ServiceState::new(&self.cfg, now))
                 .endpoints
                 .insert(endpoint.key.clone(), state);
         }
@@ -410,6 +424,7 @@
     /// Counts a request that a caller sent to a service.
     pub fn count_request(&mut self, service: &ServiceName, priority: u32, now: Instant) {
         if let Some(state) = self.services.get_mut(service) {
+            state.spill.request(&spill_config(&self.cfg), now);
             state.budget.count_request(now);
             state.note_priority(priority, now);
         }
@@ -434,16 +449,18 @@
             return Pick::Refuse(NoPick::NoEndpoint);
         }
         let first = self.best(service, ask, &order[..1], 0, now);
-        let others = || {
-            self.best(service, ask, &order[1..], 1, now)
-                // Elsewhere the object pushes others out, so it goes there
-                // only where it does not wait as well.
-                .filter(|choice| first.is_none() || choice.wait <= 0.0)
-                .filter(|choice| service.permits(ask, choice, now))
-        };
         let choice = first
             .filter(|choice| service.permits(ask, choice, now))
-            .or_else(others);
+            .or_else(|| self.elsewhere(service, ask, &order, first, now));
+        let leaves = first.is_some_and(|first| {
+            let region = |choice: Choice| &service.endpoints[choice.index].region;
+            choice.is_some_and(|choice| region(choice) != region(first))
+        });
+        let spill = spill_config(&self.cfg);
+        let choice = choice.filter(|_| {
+            let service = self.services.get_mut(ask.service);
+            !leaves || service.is_some_and(|service| service.spill.try_leave(&spill, now))
+        });
         match choice {
             Some(choice) => Pick::Send(self.begin(ask, choice, now)),
             None => {
@@ -534,6 +551,33 @@
         order
     }
 
+    /// An endpoint for a request whose home cannot take it in time, or not at
+    /// all.
+    fn elsewhere(
+        &self,
+        service: &ServiceState,
+        ask: &Ask<'_>,
+        order: &[usize],
+        home: Option<Choice>,
+        now: Instant,
+    ) -> Option<Choice> {
+        let fits = |choice: &Choice| {
+            // Elsewhere the object pushes others out, so it goes there only
+            // where it does not wait as well.
+            (home.is_none() || choice.wait <= 0.0) && service.permits(ask, choice, now)
+        };
+        let Some(home) = home else {
+            return self.best(service, ask, &order[1..], 1, now).filter(fits);
+        };
+        let region = |index: usize| &service.endpoints[index].region;
+        let (same, other): (Vec<usize>, Vec<usize>) = order[1..]
+            .iter()
+            .partition(|index| region(**index) == region(home.index));
+        self.best(service, ask, &same, 1, now)
+            .filter(fits)
+            .or_else(|| self.best(service, ask, &other, 1, now).filter(fits))
+    }
+
     /// The place in the ranking of the endpoint that handles the object, or
     /// that a new object should go to.
     fn home(
@@ -739,10 +783,11 @@
 }
 
 impl ServiceState {
-    fn new(retry: RetryConfig) -> Self {
+    fn new(cfg: &BalancerConfig, now: Instant) -> Self {
         Self {
             endpoints: IndexMap::new(),
-            budget: RetryBudget::new(retry),
+            budget: RetryBudget::new(cfg.retry),
+            spill: SpillLimit::new(&spill_config(cfg), now),
             first: None,
             repeat: None,
             urgent: None,
@@ -968,6 +1013,13 @@
     }
 }
 
+fn spill_config(cfg: &BalancerConfig) -> SpillConfig {
+    SpillConfig {
+        allowance: SPILL_ALLOWANCE,
+        ..SpillConfig::new(cfg.shift_cap * SPILL_USED, SPILL_PERIOD)
+    }
+}
+
 fn remember(objects: &mut HashMap<(u64, u64), Instant>, entry: (u64, u64), now: Instant) {
     if objects.len() >= MOST_OBJECTS {
         objects.retain(|_, at| now.saturating_duration_since(*at) <= OBJECT_MEMORY / 2);
--- a/crates/filbertgrade-coord/src/steering/evidence.rs
+++ b/crates/filbertgrade-coord/src/steering/evidence.rs
@@ -14,8 +14,19 @@
     confirmed_at: Option<Instant>,
     /// First of the failed calls since the last answer.
     failing_since: Option<Instant>,
-    /// When the store answered again after an outage.
-    back_at: Option<Instant>,
+    /// When the store answered last.
+    answered_at: Option<Instant>,
+    /// When the store answered again after an outage, and when that began.
+    back: Option<Outage>,
+}
+
+/// An outage of the store that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// When the first call failed.
+    pub began_at: Instant,
+    /// When a call was answered again.
+    pub ended_at: Instant,
 }
 
 /// Failing calls for longer than this count as an outage of the store. A
@@ -35,18 +46,28 @@
 
     /// A call was answered. Returns the length of the outage that it ended.
     pub fn answered(&mut self, now: Instant) -> Option<Duration> {
-        let since = self.failing_since.take()?;
-        let outage = now.saturating_duration_since(since);
+        self.answered_at = Some(now);
+        let began_at = self.failing_since.take()?;
+        let outage = now.saturating_duration_since(began_at);
         if outage < OUTAGE_AFTER {
             return None;
         }
-        self.back_at = Some(now);
+        self.back = Some(Outage {
+            began_at,
+            ended_at: now,
+        });
         Some(outage)
     }
 
     /// A call that began at `began` was refused or not answered. Returns true
     /// for the first one.
+    ///
+    /// A call that began before another one was answered says nothing of the
+    /// store: its connection was lost.
     pub fn failed(&mut self, began: Instant) -> bool {
+        if self.answered_at.is_some_and(|at| at >= began) {
+            return false;
+        }
         let first = self.failing_since.is_none();
         self.failing_since.get_or_insert(began);
         first
@@ -63,8 +84,24 @@
         self.age(now).is_some_and(|age| age <= limit)
     }
 
-    /// When the last outage ended.
-    pub fn back_at(&self) -> Option<Instant> {
-        self.back_at
+    /// The last outage that ended.
+    pub fn last_outage(&self) -> Option<Outage> {
+        self.back
+    }
+
+    /// Other VMs reached the store during the last outage, so it was only this
+    /// VM's.
+    pub fn outage_was_own(&mut self) {
+        self.back = None;
+    }
+
+    /// How long the store has answered without an outage, as other VMs are
+    /// told. Zero while it does not answer.
+    pub fn steady_for(&self, started: Instant, now: Instant) -> Duration {
+        if self.failing_since.is_some() || self.answered_at.is_none() {
+            return Duration::ZERO;
+        }
+        let since = self.back.map_or(started, |outage| outage.ended_at);
+        now.saturating_duration_since(since)
     }
 }
--- a/crates/filbertgrade-coord/src/steering/registry.rs
+++ b/crates/filbertgrade-coord/src/steering/registry.rs
@@ -126,9 +126,12 @@
         self.entries.len() < before
     }
 
-    /// When the next registration is to be dropped.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.entries.values().filter_map(|e| e.lapses_at).min()
+    /// Drops all registrations that might have come back, because the store
+    /// was not away after all. Returns true when there were any.
+    pub fn drop_lapsed(&mut self) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.lapses_at.is_none());
+        self.entries.len() < before
     }
 
     /// All endpoints that count as existing.
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use super::Node;
+use super::{Node, store};
 use crate::logfmt;
 use crate::sync::lock;
 
@@ -53,6 +53,9 @@
     /// The sender has just started and knows no homes.
     #[prost(bool, tag = "8")]
     wants_homes: bool,
+    /// How long the store has answered the sender without an outage.
+    #[prost(uint64, tag = "9")]
+    store_steady_ms: u64,
 }
 
 /// Where an object is handled.
@@ -108,6 +111,7 @@
     demand: HashMap<TeamName, f64>,
     homes: Vec<Home>,
     wants_homes: bool,
+    store_steady: Duration,
 }
 
 impl TryFrom<WireHeartbeat> for Received {
@@ -131,6 +135,7 @@
             demand,
             homes: wire.homes.into_iter().map(Home::from).collect(),
             wants_homes: wire.wants_homes,
+            store_steady: Duration::from_millis(wire.store_steady_ms),
         })
     }
 }
@@ -167,12 +172,14 @@
 
 fn header(node: &Node, now: Instant) -> WireHeartbeat {
     let heartbeat = node.heartbeat(now);
+    let steady = lock(&node.evidence).steady_for(node.started, now);
     WireHeartbeat {
         vm: node.settings.load().vm.as_str().to_owned(),
         incarnation: heartbeat.incarnation,
         number: node.next_heartbeat.fetch_add(1, Ordering::Relaxed),
         ready: heartbeat.ready,
         leaving: heartbeat.leaving,
+        store_steady_ms: u64::try_from(steady.as_millis()).unwrap_or(u64::MAX),
         ..WireHeartbeat::default()
     }
 }
@@ -260,6 +267,7 @@
         demand,
         homes,
         wants_homes,
+        store_steady,
     } = received;
     if lock(&node.members).heard(&vm, heartbeat, now) {
         log::info!(
@@ -268,6 +276,7 @@
             heartbeat.leaving,
         );
     }
+    store::heard_steady(node, store_steady, now);
     lock(&node.balancer).heard_homes(homes, now);
     let mut asker = None;
     if wants_homes {
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -124,6 +124,8 @@
     /// Requests that are being carried.
     pub(crate) requests: Tasks,
     leaving: watch::Sender<bool>,
+    /// Tells watches that the store answers again after an outage.
+    store_back: watch::Sender<()>,
     next_heartbeat: AtomicU64,
     pub(crate) started: Instant,
     /// The store lists this process.
@@ -154,6 +156,7 @@
             callers: Tasks::default(),
             requests: Tasks::default(),
             leaving: watch::Sender::new(false),
+            store_back: watch::Sender::new(()),
             next_heartbeat: AtomicU64::new(0),
             started: Instant::now(),
             listed: AtomicBool::new(false),
@@ -217,6 +220,7 @@
             allowance: bounds.repeat_allowance * REPEATS_USED,
             window: bounds.repeat_window,
         },
+        shift_cap: bounds.shift_cap,
     }
 }
 
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -92,9 +92,17 @@
     follower: &mut F,
     mut revision: u64,
 ) {
+    let mut back = node.store_back.subscribe();
     loop {
         let began = Instant::now();
-        match client.watch(F::KIND, revision, F::WAIT, CALL_TIMEOUT).await {
+        back.mark_unchanged();
+        let call = client.watch(F::KIND, revision, F::WAIT, CALL_TIMEOUT);
+        let result = tokio::select! {
+            result = call => result,
+            // The connection may be one that was lost with the store.
+            _ = back.changed() => continue,
+        };
+        match result {
             Ok(events) => {
                 answered(node, F::KIND);
                 note_unreadable(F::KIND, events.unreadable);
@@ -139,6 +147,7 @@
     metrics::counter!("store_calls_total", "kind" => kind, "result" => "ok").increment(1);
     let outage = lock(&node.evidence).answered(Instant::now());
     if let Some(outage) = outage {
+        node.store_back.send_replace(());
         log::info!(
             "event=store_regained kind={kind} outage_ms={}",
             outage.as_millis()
@@ -153,7 +162,12 @@
         log::info!("event=store_history_gone kind={kind}");
         return;
     }
-    if lock(&node.evidence).failed(began) {
+    // A watch that was cut after a long wait worked until then.
+    let now = Instant::now();
+    let since = now
+        .checked_sub(CALL_TIMEOUT)
+        .map_or(began, |at| at.max(began));
+    if lock(&node.evidence).failed(since) {
         log::warn!(
             "event=store_lost kind={kind} error={}",
             logfmt::value(error)
@@ -257,7 +271,7 @@
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         let list = objects.into_iter().map(registration).collect();
         let now = Instant::now();
-        let back_at = lock(&node.evidence).back_at();
+        let back_at = back_at(node);
         lock(&node.registry).replace(list, revision, now, back_at);
         node.has_endpoints.store(true, Ordering::Release);
         endpoints_changed(node, now);
@@ -278,12 +292,35 @@
             log_change(change);
         }
         let now = Instant::now();
-        let back_at = lock(&node.evidence).back_at();
+        let back_at = back_at(node);
         lock(&node.registry).apply(changes, revision, now, back_at);
         endpoints_changed(node, now);
     }
 }
 
+fn back_at(node: &Node) -> Option<Instant> {
+    let outage = lock(&node.evidence).last_outage();
+    outage.map(|outage| outage.ended_at)
+}
+
+/// Another VM has reached the store without an outage for `steady`. Endpoints
+/// whose registration is gone have then not lapsed, but left.
+pub(super) fn heard_steady(node: &Node, steady: Duration, now: Instant) {
+    let mut evidence = lock(&node.evidence);
+    let Some(outage) = evidence.last_outage() else {
+        return;
+    };
+    if steady < now.saturating_duration_since(outage.began_at) {
+        return;
+    }
+    evidence.outage_was_own();
+    drop(evidence);
+    log::info!("event=outage_was_own");
+    if lock(&node.registry).drop_lapsed() {
+        endpoints_changed(node, now);
+    }
+}
+
 fn registration(object: Object) -> (Arc<str>, Option<Endpoint>) {
     let endpoint = objects::endpoint(&object.name, &object.spec)
         .inspect_err(|fault| note_fault(Kind::Endpoints, &object.name, fault))
