Let one node of each region follow the store for the others

One node of a region, picked by rendezvous hashing over the running ones, asks the store; the others ask it for what is newer than their revision. Ages of confirmations travel with each answer. Heartbeats stay in the region; the same node speaks for its region to the others, with the sum of the demand.

--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -116,6 +116,10 @@
 const RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
 
+/// Bytes of a request's body that count as much as one object for each slot.
+/// Links between regions are thin, and large bodies fill them.
+const BYTES_WEIGHT: f64 = 30_000.0;
+
 /// Part of the shift cap that requests may use which leave their region for
 /// want of a free slot. The rest covers homes that move.
 const SPILL_USED: f64 = 0.5;
@@ -179,6 +183,8 @@
     pub target_latency: Duration,
     /// Time until the caller gives up.
     pub time_left: Duration,
+    /// Length of its body, as far as known.
+    pub body_bytes: u64,
 }
 
 /// What to do with a request.
@@ -605,7 +611,12 @@
             let slots = f64::from(state.endpoint.slots);
             let objects = f64::from(self.homes.count(state.hash)) + state.load(now);
             let margin = if place == 0 { 0.0 } else { HOME_MARGIN };
-            let distance = self.round_trip(&state.region) / repeat * DISTANCE_WEIGHT;
+            let distance = if state.region == self.cfg.region {
+                0.0
+            } else {
+                self.round_trip(&state.region) / repeat * DISTANCE_WEIGHT
+                    + ask.body_bytes as f64 / BYTES_WEIGHT
+            };
             (objects + margin) / slots + distance
         };
         near_choices
--- a/crates/filbertgrade-coord/src/steering/evidence.rs
+++ b/crates/filbertgrade-coord/src/steering/evidence.rs
@@ -89,6 +89,17 @@
         self.back
     }
 
+    /// Takes an outage that the VM met through which this one reads the store.
+    pub fn adopt(&mut self, outage: Outage) {
+        let newer = self
+            .back
+            .is_none_or(|known| outage.began_at > known.ended_at);
+        // Ages are rounded, so an outage that is known may seem a little newer.
+        if newer {
+            self.back = Some(outage);
+        }
+    }
+
     /// Other VMs reached the store during the last outage, so it was only this
     /// VM's.
     pub fn outage_was_own(&mut self) {
--- a/crates/filbertgrade-coord/src/steering/members.rs
+++ b/crates/filbertgrade-coord/src/steering/members.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::names::{FailureDomainName, RegionName, VmName};
+use crate::rendezvous;
 
 /// Time without a heartbeat after which a VM counts as down. Single datagrams
 /// are lost, so it is several intervals.
@@ -122,6 +123,66 @@
             .map(|peer| &peer.member)
     }
 
+    /// Where the VM takes calls that follows the store for its region; `None`
+    /// when it is this one.
+    pub fn relay(&self, now: Instant) -> Option<SocketAddr> {
+        let in_region = |member: &Member| member.region == self.me.region;
+        let running = self
+            .peers
+            .values()
+            .filter(|peer| peer.heard.is_some() && peer.is_running(now))
+            .map(|peer| &peer.member)
+            .filter(|member| in_region(member));
+        let names = running.clone().map(|member| member.vm.as_str());
+        let key = format!("relay/{}", self.me.region);
+        let names = names.chain([self.me.vm.as_str()]);
+        let relay = rendezvous::owner(&key, names)?;
+        running
+            .filter(|member| member.vm.as_str() == relay)
+            .map(|member| member.heartbeats)
+            .next()
+    }
+
+    /// Notes which VMs of another region run, and which of them are ready, as
+    /// one of them told.
+    pub fn heard_region(
+        &mut self,
+        region: &RegionName,
+        running: &HashMap<VmName, bool>,
+        now: Instant,
+    ) {
+        for peer in self.peers.values_mut() {
+            if peer.member.region != *region {
+                continue;
+            }
+            if let Some(ready) = running.get(&peer.member.vm) {
+                let heartbeat = Heartbeat {
+                    incarnation: peer.member.incarnation,
+                    ready: *ready,
+                    leaving: false,
+                };
+                peer.heard = Some((now, heartbeat));
+            }
+        }
+    }
+
+    /// The VMs of this region that run, and whether they are ready.
+    pub fn region_state(&self, me_ready: bool, now: Instant) -> Vec<(VmName, bool)> {
+        let mut state: Vec<(VmName, bool)> = self
+            .peers
+            .values()
+            .filter(|peer| peer.member.region == self.me.region && peer.is_running(now))
+            .map(|peer| (peer.member.vm.clone(), peer.is_ready(now)))
+            .collect();
+        state.push((self.me.vm.clone(), me_ready));
+        state
+    }
+
+    /// This VM as the store lists it.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
     /// Names of the VMs that run, this one included, in the order of their
     /// names.
     pub fn running(&self, now: Instant) -> Vec<VmName> {
--- a/crates/filbertgrade-coord/src/steering/quota.rs
+++ b/crates/filbertgrade-coord/src/steering/quota.rs
@@ -8,8 +8,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
 use crate::bucket::{Part, TokenBucket};
-use crate::names::{TeamName, VmName};
+use crate::names::{RegionName, TeamName, VmName};
 
 /// Time over which arrivals are averaged. Shorter makes the parts jump with
 /// chance, longer lets callers that moved wait for their part.
@@ -48,12 +50,23 @@
 }
 
 /// The parts of this VM in the limits of all teams.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Quotas {
     teams: HashMap<TeamName, TeamPart>,
-    peers: HashMap<VmName, PeerDemand>,
-    /// VMs of the fleet, this one included.
-    vms: usize,
+    others: Others,
+}
+
+/// What other VMs admit.
+#[derive(Debug, Default)]
+struct Others {
+    /// Other VMs of this region.
+    peers: HashMap<VmName, Demand>,
+    /// Other regions, each as a whole.
+    regions: HashMap<RegionName, Demand>,
+    /// Other VMs of this region that are listed.
+    listed_peers: usize,
+    /// VMs that are listed in each other region.
+    listed: IndexMap<RegionName, usize>,
 }
 
 #[derive(Debug)]
@@ -64,8 +77,9 @@
     divided_at: Option<Instant>,
 }
 
+/// Arrivals at one VM, or at all VMs of a region.
 #[derive(Debug)]
-struct PeerDemand {
+struct Demand {
     heard_at: Instant,
     /// Requests a second by team.
     teams: HashMap<TeamName, f64>,
@@ -102,16 +116,6 @@
     }
 }
 
-impl Default for Quotas {
-    fn default() -> Self {
-        Self {
-            teams: HashMap::new(),
-            peers: HashMap::new(),
-            vms: 1,
-        }
-    }
-}
-
 impl Quotas {
     /// Replaces the limits of all teams. Teams that keep their limit keep
     /// their tokens; a new team starts without tokens.
@@ -133,17 +137,51 @@
         }
     }
 
-    /// Replaces the list of the other VMs that may admit requests. What a VM
+    /// Replaces the list of the other VMs that may admit requests: those of
+    /// this region, and the number in each other region. What a VM or region
     /// that is not in it told does not count any more.
-    pub fn set_peers(&mut self, peers: &[VmName]) {
-        self.vms = peers.len() + 1;
-        self.peers.retain(|vm, _| peers.contains(vm));
+    pub fn set_vms(&mut self, peers: &[VmName], regions: &IndexMap<RegionName, usize>) {
+        self.others.listed_peers = peers.len();
+        self.others.peers.retain(|vm, _| peers.contains(vm));
+        self.others.listed.clone_from(regions);
+        self.others
+            .regions
+            .retain(|region, _| regions.contains_key(region));
+    }
+
+    /// Notes the arrivals at all VMs of another region.
+    pub fn heard_region(
+        &mut self,
+        region: RegionName,
+        teams: HashMap<TeamName, f64>,
+        now: Instant,
+    ) {
+        let heard_at = now;
+        self.others
+            .regions
+            .insert(region, Demand { heard_at, teams });
+    }
+
+    /// Arrivals at all VMs of this region by team, for the other regions.
+    pub fn region_demand(&self, now: Instant) -> Vec<(TeamName, f64)> {
+        let mut sum: IndexMap<TeamName, f64> = self.demand(now).into_iter().collect();
+        for peer in self
+            .others
+            .peers
+            .values()
+            .filter(|peer| peer.is_recent(now))
+        {
+            for (team, rate) in &peer.teams {
+                *sum.entry(team.clone()).or_default() += rate.max(0.0);
+            }
+        }
+        sum.into_iter().collect()
     }
 
     /// Notes the arrivals that another VM told.
     pub fn heard(&mut self, vm: VmName, teams: HashMap<TeamName, f64>, now: Instant) {
         let heard_at = now;
-        self.peers.insert(vm, PeerDemand { heard_at, teams });
+        self.others.peers.insert(vm, Demand { heard_at, teams });
     }
 
     /// Arrivals at this VM by team, in requests a second, for the other VMs.
@@ -166,7 +204,7 @@
             return Admission::Admitted;
         }
         if part.is_division_due(now) {
-            let share = share(&self.peers, self.vms, team, part, now);
+            let share = share(&self.others, team, part, now);
             part.divide(share, now);
         }
         if part.bucket.try_take(now) {
@@ -177,30 +215,45 @@
     }
 }
 
+impl Others {
+    fn vms(&self) -> usize {
+        1 + self.listed_peers + self.listed.values().sum::<usize>()
+    }
+}
+
+impl Demand {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) <= SILENT_HOLD
+    }
+
+    /// What counts for `vms` VMs, when an equal division gives each `equal`.
+    fn weight(&self, team: &TeamName, vms: usize, equal: f64, now: Instant) -> f64 {
+        if !self.is_recent(now) {
+            return vms as f64 * equal * SILENT_PART;
+        }
+        let rate = self.teams.get(team).copied().unwrap_or(0.0);
+        rate.max(0.0) + vms as f64 * equal * IDLE_PART
+    }
+}
+
 /// The part of this VM in a team's limit, from 0 to 1.
-fn share(
-    peers: &HashMap<VmName, PeerDemand>,
-    vms: usize,
-    team: &TeamName,
-    part: &TeamPart,
-    now: Instant,
-) -> f64 {
-    let equal = part.limit.rate / vms as f64;
-    let idle = equal * IDLE_PART;
-    let mut others = 0.0;
-    for peer in peers.values() {
-        let rate = peer.teams.get(team).copied().unwrap_or(0.0);
-        others += if now.saturating_duration_since(peer.heard_at) <= SILENT_HOLD {
-            rate.max(0.0) + idle
-        } else {
-            equal * SILENT_PART
-        };
+fn share(others: &Others, team: &TeamName, part: &TeamPart, now: Instant) -> f64 {
+    let equal = part.limit.rate / others.vms() as f64;
+    let silent = equal * SILENT_PART;
+    let mut sum = 0.0;
+    for peer in others.peers.values() {
+        sum += peer.weight(team, 1, equal, now);
     }
     // VMs of which nothing was heard yet.
-    let unheard = vms.saturating_sub(1 + peers.len());
-    others += unheard as f64 * equal * SILENT_PART;
-    let own = part.demand.get(now) + idle;
-    own / (own + others)
+    sum += others.listed_peers.saturating_sub(others.peers.len()) as f64 * silent;
+    for (region, vms) in &others.listed {
+        sum += match others.regions.get(region) {
+            Some(demand) => demand.weight(team, *vms, equal, now),
+            None => *vms as f64 * silent,
+        };
+    }
+    let own = part.demand.get(now) + equal * IDLE_PART;
+    own / (own + sum)
 }
 
 impl TeamPart {
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -6,10 +6,10 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::names::{NameError, TeamName, VmName};
+use filbertgrade_coord::names::{NameError, RegionName, TeamName, VmName};
 use filbertgrade_coord::rendezvous;
 use filbertgrade_coord::steering::homes::Home;
-use filbertgrade_coord::steering::members::Heartbeat;
+use filbertgrade_coord::steering::members::{Heartbeat, Member};
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -56,6 +56,21 @@
     /// How long the store has answered the sender without an outage.
     #[prost(uint64, tag = "9")]
     store_steady_ms: u64,
+    /// Set when the datagram speaks for all VMs of the sender's region.
+    #[prost(message, optional, tag = "10")]
+    region: Option<WireRegion>,
+}
+
+/// The VMs of a region that run.
+#[derive(Clone, PartialEq, Message)]
+struct WireRegion {
+    #[prost(string, tag = "1")]
+    region: String,
+    #[prost(string, repeated, tag = "2")]
+    ready: Vec<String>,
+    /// Those that run and cannot serve callers.
+    #[prost(string, repeated, tag = "3")]
+    not_ready: Vec<String>,
 }
 
 /// Where an object is handled.
@@ -112,6 +127,31 @@
     homes: Vec<Home>,
     wants_homes: bool,
     store_steady: Duration,
+    region: Option<RegionState>,
+}
+
+/// The VMs of a region that run, and whether they are ready.
+#[derive(Debug)]
+struct RegionState {
+    region: RegionName,
+    running: HashMap<VmName, bool>,
+}
+
+impl TryFrom<WireRegion> for RegionState {
+    type Error = NameError;
+
+    fn try_from(wire: WireRegion) -> Result<Self, NameError> {
+        let mut running = HashMap::new();
+        for (names, ready) in [(&wire.ready, true), (&wire.not_ready, false)] {
+            for name in names {
+                running.insert(VmName::try_from(name.as_str())?, ready);
+            }
+        }
+        Ok(Self {
+            region: RegionName::try_from(wire.region.as_str())?,
+            running,
+        })
+    }
 }
 
 impl TryFrom<WireHeartbeat> for Received {
@@ -136,6 +176,7 @@
             homes: wire.homes.into_iter().map(Home::from).collect(),
             wants_homes: wire.wants_homes,
             store_steady: Duration::from_millis(wire.store_steady_ms),
+            region: wire.region.map(RegionState::try_from).transpose()?,
         })
     }
 }
@@ -145,24 +186,54 @@
     let mut next = Instant::now();
     loop {
         let now = Instant::now();
+        if now >= next {
+            send_region(&node, &socket).await;
+        }
         if now >= next || lock(&node.balancer).homes().has_news() {
-            send_once(&node, &socket).await;
+            send_once(&node, &socket, Reach::Region).await;
             next = now + INTERVAL;
         }
         tokio::time::sleep(NEWS_INTERVAL).await;
     }
 }
 
-/// Sends one heartbeat to every VM of the list.
-pub(super) async fn send_once(node: &Node, socket: &UdpSocket) {
+/// Which VMs a heartbeat goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// Those of the own region, so that heartbeats do not grow with the square
+    /// of the fleet.
+    Region,
+    /// All, when a VM stops.
+    Fleet,
+}
+
+/// Sends one heartbeat.
+pub(super) async fn send_once(node: &Node, socket: &UdpSocket, reach: Reach) {
+    let bytes = encode(node, Instant::now());
+    let region = node.settings.load().region.clone();
+    let reached = |member: &Member| reach == Reach::Fleet || member.region == region;
+    send_to(node, socket, &bytes, reached).await;
+}
+
+/// Speaks for the region to all others, if this node is its relay.
+async fn send_region(node: &Node, socket: &UdpSocket) {
     let now = Instant::now();
-    let bytes = encode(node, now);
+    if lock(&node.members).relay(now).is_some() {
+        return;
+    }
+    let bytes = encode_region(node, now);
+    let region = node.settings.load().region.clone();
+    send_to(node, socket, &bytes, |member| member.region != region).await;
+}
+
+async fn send_to(node: &Node, socket: &UdpSocket, bytes: &[u8], reached: impl Fn(&Member) -> bool) {
     let peers: Vec<SocketAddr> = lock(&node.members)
         .peers()
+        .filter(|member| reached(member))
         .map(|member| member.heartbeats)
         .collect();
     for peer in peers {
-        if let Err(error) = socket.send_to(&bytes, peer).await {
+        if let Err(error) = socket.send_to(bytes, peer).await {
             // The next heartbeat follows soon.
             let error = logfmt::value(&error);
             log::debug!("event=heartbeat_not_sent peer={peer} error={error}");
@@ -185,26 +256,54 @@
 }
 
 fn encode(node: &Node, now: Instant) -> Vec<u8> {
-    let mut demand = lock(&node.quotas).demand(now);
-    // The teams with most requests go first, in case not all fit.
-    demand.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let demand = lock(&node.quotas).demand(now);
     let homes = lock(&node.balancer).homes().take_news(MOST_HOMES);
     let mut wire = WireHeartbeat {
         homes: homes.into_iter().map(WireHome::from).collect(),
         wants_homes: now.saturating_duration_since(node.started) < ASK_TIME,
-        demand: demand
-            .into_iter()
-            .map(|(team, rate)| WireDemand {
-                team: team.as_str().to_owned(),
-                rate: rate as f32,
-            })
-            .collect(),
+        demand: wire_demand(demand),
         ..header(node, now)
     };
-    while wire.encoded_len() > MOST_BYTES && wire.demand.pop().is_some() {}
+    fit(&mut wire);
     wire.encode_to_vec()
 }
 
+fn encode_region(node: &Node, now: Instant) -> Vec<u8> {
+    let state = lock(&node.members).region_state(node.is_ready(now), now);
+    let names = |wanted: bool| {
+        let named = state.iter().filter(|(_, ready)| *ready == wanted);
+        named.map(|(vm, _)| vm.as_str().to_owned()).collect()
+    };
+    let demand = lock(&node.quotas).region_demand(now);
+    let mut wire = WireHeartbeat {
+        region: Some(WireRegion {
+            region: node.settings.load().region.as_str().to_owned(),
+            ready: names(true),
+            not_ready: names(false),
+        }),
+        demand: wire_demand(demand),
+        ..header(node, now)
+    };
+    fit(&mut wire);
+    wire.encode_to_vec()
+}
+
+/// The teams with most requests go first, in case not all fit.
+fn wire_demand(mut demand: Vec<(TeamName, f64)>) -> Vec<WireDemand> {
+    demand.sort_by(|a, b| b.1.total_cmp(&a.1));
+    demand
+        .into_iter()
+        .map(|(team, rate)| WireDemand {
+            team: team.as_str().to_owned(),
+            rate: rate as f32,
+        })
+        .collect()
+}
+
+fn fit(wire: &mut WireHeartbeat) {
+    while wire.encoded_len() > MOST_BYTES && wire.demand.pop().is_some() {}
+}
+
 /// Takes heartbeats until the process ends.
 pub(super) async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut buf = [0_u8; 2 * MOST_BYTES];
@@ -268,7 +367,13 @@
         homes,
         wants_homes,
         store_steady,
+        region,
     } = received;
+    if let Some(state) = region {
+        lock(&node.members).heard_region(&state.region, &state.running, now);
+        lock(&node.quotas).heard_region(state.region, demand, now);
+        return None;
+    }
     if lock(&node.members).heard(&vm, heartbeat, now) {
         log::info!(
             "event=peer_state vm={vm} ready={} leaving={}",
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -10,8 +10,10 @@
 mod body;
 mod callers;
 mod clock;
+mod copy;
 mod dump;
 mod heartbeat;
+mod relay;
 mod request;
 mod stop;
 mod store;
@@ -39,6 +41,7 @@
 
 use self::body::BodyBudget;
 use self::clock::SuspensionDetector;
+use self::copy::Copies;
 use crate::connection::{Pool, PoolLimits};
 use crate::logfmt;
 use crate::process::operator;
@@ -117,6 +120,7 @@
     pub(crate) members: Mutex<Members>,
     pub(crate) evidence: Mutex<StoreEvidence>,
     pub(crate) suspension: Mutex<SuspensionDetector>,
+    copies: Copies,
     pub(crate) pool: Pool,
     pub(crate) bodies: BodyBudget,
     /// Callers' connections.
@@ -126,6 +130,9 @@
     leaving: watch::Sender<bool>,
     /// Tells watches that the store answers again after an outage.
     store_back: watch::Sender<()>,
+    /// When the node that follows the store for this region was last found to
+    /// be of no use.
+    relay_lost: watch::Sender<Option<Instant>>,
     next_heartbeat: AtomicU64,
     pub(crate) started: Instant,
     /// The store lists this process.
@@ -151,12 +158,14 @@
             members: Mutex::new(Members::new(member(&settings, incarnation))),
             evidence: Mutex::default(),
             suspension: Mutex::new(SuspensionDetector::new()),
+            copies: Copies::new(),
             pool: Pool::with_limits(settings.address, limits),
             bodies: BodyBudget::new(settings.memory_bytes),
             callers: Tasks::default(),
             requests: Tasks::default(),
             leaving: watch::Sender::new(false),
             store_back: watch::Sender::new(()),
+            relay_lost: watch::Sender::new(None),
             next_heartbeat: AtomicU64::new(0),
             started: Instant::now(),
             listed: AtomicBool::new(false),
@@ -254,6 +263,7 @@
         lookups,
         ready,
         peers,
+        relay,
         operators,
     } = listeners;
     let peers = Arc::new(peers);
@@ -262,6 +272,7 @@
     tokio::spawn(callers::serve_questions(Arc::clone(&node), ready));
     tokio::spawn(heartbeat::receive(Arc::clone(&node), Arc::clone(&peers)));
     tokio::spawn(heartbeat::send(Arc::clone(&node), Arc::clone(&peers)));
+    tokio::spawn(relay::serve(Arc::clone(&node), relay));
     store::follow(&node);
     tokio::spawn(upkeep(Arc::clone(&node)));
     tokio::spawn(stop::reload_settings(Arc::clone(&node), path, reload));
@@ -308,6 +319,8 @@
     ready: TcpListener,
     operators: TcpListener,
     peers: UdpSocket,
+    /// Nodes that ask this one instead of the store, on the same port.
+    relay: TcpListener,
 }
 
 impl Listeners {
@@ -319,6 +332,7 @@
             lookups: bind(listen.lookups).await?,
             ready: bind(listen.ready).await?,
             operators: bind(operators).await?,
+            relay: bind(listen.peers).await?,
             peers: UdpSocket::bind(listen.peers)
                 .await
                 .map_err(|source| NodeError::Listen {
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -52,6 +52,8 @@
     /// The caller named an object.
     has_object: bool,
     pub(super) arrived: Instant,
+    /// Length of the body that the caller announced.
+    body_bytes: u64,
     /// Until when an answer is of use.
     pub(super) deadline: Instant,
     version: u64,
@@ -123,6 +125,7 @@
             priority: self.priority(),
             target_latency: self.route.target_latency,
             time_left: self.deadline.saturating_duration_since(now),
+            body_bytes: self.body_bytes,
         }
     }
 
@@ -180,6 +183,7 @@
     remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
     let call = Call {
+        body_bytes: content_length(&parts),
         has_object,
         object,
         service,
@@ -195,6 +199,14 @@
     Ok(call)
 }
 
+fn content_length(parts: &Parts) -> u64 {
+    let length = parts.headers.get(header::CONTENT_LENGTH);
+    length
+        .and_then(|length| length.to_str().ok())
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0)
+}
+
 fn find_route(
     node: &Node,
     deployment: &Deployment,
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::callers::{self, LOOKUP_TTL};
+use super::heartbeat::Reach;
 use super::{Node, heartbeat, read_settings, store};
 use crate::logfmt;
 
@@ -54,7 +55,7 @@
         node.settings.load().vm
     );
     node.leaving.send_replace(true);
-    heartbeat::send_once(node, peers).await;
+    heartbeat::send_once(node, peers, Reach::Fleet).await;
     tokio::spawn(store::delist(Arc::clone(node)));
 }
 
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -1,11 +1,12 @@
 //! Follows the store: one task for each kind of object.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::names::{FailureDomainName, VmName};
+use filbertgrade_coord::names::{FailureDomainName, RegionName, VmName};
 use filbertgrade_coord::rendezvous;
 use filbertgrade_coord::steering::deployment::Deployment;
 use filbertgrade_coord::steering::endpoint::Endpoint;
@@ -16,8 +17,11 @@
 use filbertgrade_platform::store::{Event, Object, StoreClient, StoreError};
 use indexmap::IndexMap;
 use rand::Rng;
+use tokio::sync::watch;
 
-use super::{Node, member};
+use super::copy::Update;
+use super::{Node, member, relay};
+use crate::connection::PeerLink;
 use crate::logfmt;
 use crate::sync::lock;
 
@@ -28,6 +32,12 @@
 /// Pause before the next call after one that failed, half of it at random.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest pause after several calls that failed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+
+/// How long the store is asked instead of a relay that was of no use.
+const DIRECT_TIME: Duration = Duration::from_secs(2);
+
 /// Time for which changes that come together are collected before they are
 /// asked for, because each answer is a call.
 const COLLECT_TIME: Duration = Duration::from_millis(150);
@@ -67,64 +77,194 @@
 }
 
 async fn run<F: Follower>(node: Arc<Node>, mut follower: F) {
-    let mut client = client(&node);
+    let mut source = Source::new(&node, F::KIND);
+    let mut known = None;
     loop {
-        let began = Instant::now();
-        match client.list(F::KIND, CALL_TIMEOUT).await {
-            Ok(list) => {
-                answered(&node, F::KIND);
-                note_unreadable(F::KIND, list.unreadable);
-                let revision = list.revision;
-                follower.replace(&node, list.objects, revision);
-                follower.confirm(&node, began);
-                watch(&node, &mut client, &mut follower, revision).await;
+        match source.next(&node, known, F::WAIT).await {
+            Next::Update(update) => {
+                known = Some(known.unwrap_or(0).max(update.revision));
+                take(&node, &mut follower, update);
             }
-            Err(error) => failed(&node, F::KIND, began, &error),
+            Next::Again => {}
+            Next::HistoryGone => known = None,
+            Next::Failed => source.pause().await,
         }
-        pause().await;
     }
 }
 
-/// Watches until the history that is asked for is gone.
-async fn watch<F: Follower>(
-    node: &Node,
-    client: &mut StoreClient,
-    follower: &mut F,
-    mut revision: u64,
-) {
-    let mut back = node.store_back.subscribe();
-    loop {
+/// Puts what was read in force.
+fn take<F: Follower>(node: &Node, follower: &mut F, update: Update) {
+    note_unreadable(F::KIND, update.unreadable);
+    node.copies.with(F::KIND, |copy| copy.take(&update));
+    let Update {
+        whole,
+        events,
+        revision,
+        confirmed_at,
+        ..
+    } = update;
+    if whole {
+        let objects = events.into_iter().filter_map(written).collect();
+        follower.replace(node, objects, revision);
+    } else if !events.is_empty() {
+        follower.change(node, events, revision);
+    }
+    if let Some(at) = confirmed_at {
+        follower.confirm(node, at);
+    }
+}
+
+fn written(event: Event) -> Option<Object> {
+    match event {
+        Event::Written(object) => Some(object),
+        Event::Removed(_) => None,
+    }
+}
+
+/// Where a kind is read: at the store, or at the node of the region that
+/// follows the store for the others.
+struct Source {
+    kind: Kind,
+    client: StoreClient,
+    link: Option<(SocketAddr, PeerLink)>,
+    back: watch::Receiver<()>,
+    relay_lost: watch::Receiver<Option<Instant>>,
+    pause: Duration,
+}
+
+/// What came of reading a kind.
+enum Next {
+    Update(Update),
+    Again,
+    HistoryGone,
+    Failed,
+}
+
+impl Source {
+    fn new(node: &Node, kind: Kind) -> Self {
+        Self {
+            kind,
+            client: client(node),
+            link: None,
+            back: node.store_back.subscribe(),
+            relay_lost: node.relay_lost.subscribe(),
+            pause: RETRY_PAUSE,
+        }
+    }
+
+    async fn next(&mut self, node: &Node, known: Option<u64>, wait: Duration) -> Next {
+        let now = Instant::now();
+        let lost_at = *self.relay_lost.borrow_and_update();
+        let direct = lost_at.is_some_and(|at| now < at + DIRECT_TIME);
+        let relay = if direct {
+            None
+        } else {
+            lock(&node.members).relay(now)
+        };
+        match relay {
+            Some(address) => self.pull(node, address, known, wait).await,
+            None => self.call(node, known, wait).await,
+        }
+    }
+
+    async fn pull(
+        &mut self,
+        node: &Node,
+        address: SocketAddr,
+        known: Option<u64>,
+        wait: Duration,
+    ) -> Next {
+        let link = match &self.link {
+            Some((linked, link)) if *linked == address => link,
+            _ => {
+                let local = node.settings.load().address;
+                let link = PeerLink::new(address, Some(local));
+                &self.link.insert((address, link)).1
+            }
+        };
+        let pull = relay::pull(node, link, self.kind, known, wait, CALL_TIMEOUT);
+        let result = tokio::select! {
+            result = pull => result,
+            // Another kind found that the relay is of no use.
+            _ = self.relay_lost.changed() => return Next::Again,
+        };
+        match result {
+            Ok(update) => {
+                self.pause = RETRY_PAUSE;
+                Next::Update(update)
+            }
+            Err(error) => {
+                relay::note_failure(self.kind, &error);
+                node.relay_lost.send_replace(Some(Instant::now()));
+                Next::Again
+            }
+        }
+    }
+
+    async fn call(&mut self, node: &Node, known: Option<u64>, wait: Duration) -> Next {
         let began = Instant::now();
-        back.mark_unchanged();
-        let call = client.watch(F::KIND, revision, F::WAIT, CALL_TIMEOUT);
+        self.back.mark_unchanged();
+        let call = read(&mut self.client, self.kind, known, wait, began);
         let result = tokio::select! {
             result = call => result,
             // The connection may be one that was lost with the store.
-            _ = back.changed() => continue,
+            _ = self.back.changed() => return Next::Again,
         };
         match result {
-            Ok(events) => {
-                answered(node, F::KIND);
-                note_unreadable(F::KIND, events.unreadable);
-                revision = revision.max(events.revision);
-                let quiet = events.events.is_empty();
-                if !quiet {
-                    follower.change(node, events.events, revision);
-                }
-                follower.confirm(node, confirmed_at(began, F::WAIT, quiet));
-                if !quiet {
+            Ok(update) => {
+                self.pause = RETRY_PAUSE;
+                answered(node, self.kind);
+                if !update.events.is_empty() && !update.whole {
                     tokio::time::sleep(COLLECT_TIME).await;
                 }
+                Next::Update(update)
             }
             Err(error) => {
-                failed(node, F::KIND, began, &error);
+                failed(node, self.kind, began, &error);
                 if error.is_history_gone() {
-                    return;
+                    Next::HistoryGone
+                } else {
+                    Next::Failed
                 }
-                pause().await;
             }
         }
     }
+
+    /// Waits longer after each failure in a row.
+    async fn pause(&mut self) {
+        let part = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.pause.mul_f64(part)).await;
+        self.pause = (self.pause * 3 / 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Asks the store for what is newer than `known`.
+async fn read(
+    client: &mut StoreClient,
+    kind: Kind,
+    known: Option<u64>,
+    wait: Duration,
+    began: Instant,
+) -> Result<Update, StoreError> {
+    let Some(revision) = known else {
+        let list = client.list(kind, CALL_TIMEOUT).await?;
+        return Ok(Update {
+            whole: true,
+            events: list.objects.into_iter().map(Event::Written).collect(),
+            revision: list.revision,
+            confirmed_at: Some(began),
+            unreadable: list.unreadable,
+        });
+    };
+    let events = client.watch(kind, revision, wait, CALL_TIMEOUT).await?;
+    let quiet = events.events.is_empty();
+    Ok(Update {
+        whole: false,
+        confirmed_at: Some(confirmed_at(began, wait, quiet)),
+        events: events.events,
+        revision: events.revision,
+        unreadable: events.unreadable,
+    })
 }
 
 /// Until when an answer proves that nothing else had changed. A watch without
@@ -137,11 +277,6 @@
     }
 }
 
-async fn pause() {
-    let part = rand::rng().random_range(0.5..1.0);
-    tokio::time::sleep(RETRY_PAUSE.mul_f64(part)).await;
-}
-
 fn answered(node: &Node, kind: Kind) {
     let kind = kind.as_str();
     metrics::counter!("store_calls_total", "kind" => kind, "result" => "ok").increment(1);
@@ -204,7 +339,7 @@
     const KIND: Kind = Kind::Configuration;
     // Withdrawn keys must stop working within seconds, also when an open
     // connection to the store went silent.
-    const WAIT: Duration = Duration::from_millis(1_200);
+    const WAIT: Duration = Duration::from_millis(600);
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         for object in objects {
@@ -266,7 +401,7 @@
 
 impl Follower for Endpoints {
     const KIND: Kind = Kind::Endpoints;
-    const WAIT: Duration = Duration::from_secs(4);
+    const WAIT: Duration = Duration::from_millis(2_500);
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         let list = objects.into_iter().map(registration).collect();
@@ -367,7 +502,7 @@
 
 impl Follower for Evacuations {
     const KIND: Kind = Kind::Evacuations;
-    const WAIT: Duration = Duration::from_secs(4);
+    const WAIT: Duration = Duration::from_millis(2_500);
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         self.names = objects.iter().filter_map(|o| evacuation(&o.name)).collect();
@@ -414,13 +549,17 @@
         let now = Instant::now();
         let me = node.settings.load().vm.clone();
         let members: Vec<Member> = self.members.values().map(|(m, _)| m.clone()).collect();
-        let peers: Vec<VmName> = self
-            .members
-            .keys()
-            .filter(|vm| **vm != me)
-            .cloned()
-            .collect();
-        lock(&node.quotas).set_peers(&peers);
+        let region = node.settings.load().region.clone();
+        let mut peers = Vec::new();
+        let mut regions: IndexMap<RegionName, usize> = IndexMap::new();
+        for member in members.iter().filter(|member| member.vm != me) {
+            if member.region == region {
+                peers.push(member.vm.clone());
+            } else {
+                *regions.entry(member.region.clone()).or_default() += 1;
+            }
+        }
+        lock(&node.quotas).set_vms(&peers, &regions);
         if lock(&node.members).set_listed(members, now) {
             log::info!("event=vms_listed count={}", self.members.len());
         }
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -4,8 +4,10 @@
 //! them with `TryFrom`, which checks every field.
 
 mod loans;
+mod store;
 
 pub use loans::LoanMessageError;
+pub use store::{StoreEvent, StorePull, StoreUpdate};
 
 /// One frame on a link: a request, its reply or a one-way message.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -17,7 +19,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: Option<Body>,
 }
@@ -76,6 +78,12 @@
     /// Entry to entry: frees a slot.
     #[prost(message, tag = "18")]
     Release(Release),
+    /// Node to node: asks for newer objects of the store.
+    #[prost(message, tag = "19")]
+    StorePull(StorePull),
+    /// Answer to [`StorePull`].
+    #[prost(message, tag = "20")]
+    StoreUpdate(StoreUpdate),
 }
 
 /// Asks an agent for the feed of its VM.
