Pick the region of an object by hash and not by load

New objects went to other regions once the own endpoints had some, so the parts of the regions moved while objects were met.

A region keeps what its part of the slots covers, by hash, from the first request on; within the region the endpoint with the fewest objects is taken. Large bodies stay in the caller's region.

Ruled out: requests that leave for want of a slot (the limit on them held).

--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -16,13 +16,12 @@
 use super::deployment::Deployment;
 use super::endpoint::{Endpoint, EndpointKey};
 use super::homes::{Home, Homes};
-use super::placement::{endpoint_hash, score, unit};
+use super::placement::{RegionSplit, endpoint_hash, score, unit};
 use super::retry::{RetryBudget, RetryConfig};
 use crate::names::{FailureDomainName, RegionName, ServiceName, VmName};
 use crate::spill::{SpillConfig, SpillLimit};
 
-/// Endpoints, in the caller's region and elsewhere, of which a new object gets
-/// the one with the fewest objects. More spread objects more evenly, fewer let
+/// Endpoints of which a new object gets the one with the fewest objects. More spread objects more evenly, fewer let
 /// VMs agree that were not told.
 const HOME_CHOICES: usize = 3;
 
@@ -30,10 +29,6 @@
 /// a new object goes to the other one. It keeps to the ranking otherwise.
 const HOME_MARGIN: f64 = 1.0;
 
-/// Objects for each slot that a region may have more than another one, for
-/// each time that the work of a request fits into the round trip between them.
-const DISTANCE_WEIGHT: f64 = 2.0;
-
 /// What each further place in the ranking counts, so that equal endpoints are
 /// taken in the same order by all VMs.
 const RANK_COST: f64 = 0.010;
@@ -116,9 +111,9 @@
 const RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
 
-/// Bytes of a request's body that count as much as one object for each slot.
-/// Links between regions are thin, and large bodies fill them.
-const BYTES_WEIGHT: f64 = 30_000.0;
+/// Length in bytes of a body that stays in the caller's region, because links
+/// between regions are thin.
+const LARGE_BODY: u64 = 16 * 1024;
 
 /// Part of the shift cap that requests may use which leave their region for
 /// want of a free slot. The rest covers homes that move.
@@ -270,6 +265,7 @@
 #[derive(Debug)]
 struct ServiceState {
     endpoints: IndexMap<EndpointKey, EndpointState>,
+    split: RegionSplit,
     budget: RetryBudget,
     spill: SpillLimit,
     /// Requests that left the region of their object's home.
@@ -395,6 +391,7 @@
         for service in self.services.values_mut() {
             service.endpoints.sort_unstable_keys();
         }
+        self.divide_regions();
         self.renew_cold_limits(now);
     }
 
@@ -415,6 +412,7 @@
                 }
             }
         }
+        self.divide_regions();
         self.renew_cold_limits(now);
     }
 
@@ -548,6 +546,7 @@
 
     /// Indexes of the endpoints that may take the request, best first.
     fn order(&self, service: &ServiceState, ask: &Ask<'_>, now: Instant) -> Vec<usize> {
+        let region = self.region_of(service, ask);
         let mut near = Vec::with_capacity(service.endpoints.len());
         let mut far = Vec::new();
         for (index, state) in service.endpoints.values().enumerate() {
@@ -555,7 +554,7 @@
                 continue;
             }
             let entry = (std::cmp::Reverse(score(ask.object, state.hash)), index);
-            if state.region == self.cfg.region {
+            if state.region == *region {
                 near.push(entry);
             } else {
                 far.push(entry);
@@ -573,6 +572,15 @@
         order
     }
 
+    /// The region that new objects go to.
+    fn region_of<'a>(&'a self, service: &'a ServiceState, ask: &Ask<'_>) -> &'a RegionName {
+        if ask.body_bytes >= LARGE_BODY {
+            return &self.cfg.region;
+        }
+        let region = service.split.region(&self.cfg.region, ask.object);
+        region.unwrap_or(&self.cfg.region)
+    }
+
     /// An endpoint for a request whose home, the first of `order`, cannot take
     /// it in time, or not at all.
     fn elsewhere(
@@ -614,29 +622,17 @@
         {
             return Some(place);
         }
-        let near = order
-            .iter()
-            .take_while(|index| service.endpoints[**index].region == self.cfg.region)
-            .count();
-        let near_choices = 0..near.min(HOME_CHOICES);
-        let far_choices = near..(near + HOME_CHOICES).min(order.len());
-        let repeat = service.repeat_time(ask);
+        let region = order
+            .first()
+            .map(|index| &service.endpoints[*index].region)?;
         let burden = |place: usize| {
             let state = state(place);
-            let slots = f64::from(state.endpoint.slots);
             let objects = f64::from(self.homes.count(state.hash)) + state.load(now);
             let margin = if place == 0 { 0.0 } else { HOME_MARGIN };
-            let distance = if state.region == self.cfg.region {
-                0.0
-            } else {
-                self.round_trip(&state.region) / repeat * DISTANCE_WEIGHT
-                    + ask.body_bytes as f64 / BYTES_WEIGHT
-            };
-            (objects + margin) / slots + distance
+            (objects + margin) / f64::from(state.endpoint.slots)
         };
-        near_choices
-            .chain(far_choices)
-            .filter(|place| state(*place).is_open(now))
+        (0..order.len().min(HOME_CHOICES))
+            .filter(|place| state(*place).region == *region && state(*place).is_open(now))
             .min_by(|a, b| burden(*a).total_cmp(&burden(*b)))
     }
 
@@ -767,6 +763,20 @@
             .is_some_and(|at| now.saturating_duration_since(*at) <= OBJECT_MEMORY)
     }
 
+    fn divide_regions(&mut self) {
+        let mut regions: Vec<RegionName> = self.cfg.regions.values().cloned().collect();
+        regions.sort();
+        regions.dedup();
+        let demand: Vec<(RegionName, f64)> = regions.iter().map(|r| (r.clone(), 1.0)).collect();
+        for service in self.services.values_mut() {
+            let capacity: Vec<(RegionName, f64)> = regions
+                .iter()
+                .map(|region| (region.clone(), service.slots_in(region, &self.evacuated)))
+                .collect();
+            service.split = RegionSplit::new(&capacity, &demand);
+        }
+    }
+
     fn renew_cold_limits(&mut self, now: Instant) {
         for (name, service) in &mut self.services {
             let rate = self
@@ -814,6 +824,7 @@
     fn new(cfg: &BalancerConfig, now: Instant) -> Self {
         Self {
             endpoints: IndexMap::new(),
+            split: RegionSplit::default(),
             budget: RetryBudget::new(cfg.retry),
             spill: SpillLimit::new(&spill_config(cfg), now),
             left: 0,
@@ -874,6 +885,18 @@
         });
         !urgent || choice.wait <= ask.target_latency.as_secs_f64() * LESS_URGENT_WAIT
     }
+
+    fn slots_in(&self, region: &RegionName, evacuated: &HashSet<FailureDomainName>) -> f64 {
+        self.endpoints
+            .values()
+            .filter(|state| {
+                state.region == *region
+                    && !state.endpoint.draining
+                    && !evacuated.contains(&state.endpoint.failure_domain)
+            })
+            .map(|state| f64::from(state.endpoint.slots))
+            .sum()
+    }
 }
 
 impl EndpointState {
--- a/crates/filbertgrade-coord/tests/steering/scene.rs
+++ b/crates/filbertgrade-coord/tests/steering/scene.rs
@@ -11,33 +11,33 @@
 use filbertgrade_coord::steering::endpoint::{Endpoint, EndpointKey};
 use filbertgrade_coord::steering::retry::RetryConfig;
 
-pub const TARGET: Duration = Duration::from_millis(500);
+pub(crate) const TARGET: Duration = Duration::from_millis(500);
 
-pub fn vm(name: &str) -> VmName {
+pub(crate) fn vm(name: &str) -> VmName {
     VmName::try_from(name).unwrap()
 }
 
-pub fn region(name: &str) -> RegionName {
+pub(crate) fn region(name: &str) -> RegionName {
     RegionName::try_from(name).unwrap()
 }
 
-pub fn domain(name: &str) -> FailureDomainName {
+pub(crate) fn domain(name: &str) -> FailureDomainName {
     FailureDomainName::try_from(name).unwrap()
 }
 
-pub fn service() -> ServiceName {
+pub(crate) fn service() -> ServiceName {
     ServiceName::try_from("charts").unwrap()
 }
 
 /// Failure domain `north-a` is in region `north`, and so on.
-pub fn regions(names: &[&str]) -> HashMap<FailureDomainName, RegionName> {
+pub(crate) fn regions(names: &[&str]) -> HashMap<FailureDomainName, RegionName> {
     names
         .iter()
         .map(|name| (domain(&format!("{name}-a")), region(name)))
         .collect()
 }
 
-pub fn endpoint(id: &str, region: &str, slots: u32) -> Endpoint {
+pub(crate) fn endpoint(id: &str, region: &str, slots: u32) -> Endpoint {
     let port = 1_000
         + id.bytes()
             .fold(0_u16, |n, b| n.wrapping_mul(31).wrapping_add(b.into()))
@@ -56,7 +56,7 @@
     }
 }
 
-pub fn deployment() -> Arc<Deployment> {
+pub(crate) fn deployment() -> Arc<Deployment> {
     let mut deployment = Deployment {
         version: 1,
         ..Deployment::default()
@@ -73,7 +73,7 @@
     Arc::new(deployment)
 }
 
-pub fn balancer(name: &str, home: &str, names: &[&str]) -> Balancer {
+pub(crate) fn balancer(name: &str, home: &str, names: &[&str]) -> Balancer {
     let mut balancer = Balancer::new(BalancerConfig {
         vm: vm(name),
         region: region(home),
@@ -89,13 +89,17 @@
     balancer
 }
 
-pub fn with_endpoints(mut balancer: Balancer, endpoints: &[Endpoint], now: Instant) -> Balancer {
+pub(crate) fn with_endpoints(
+    mut balancer: Balancer,
+    endpoints: &[Endpoint],
+    now: Instant,
+) -> Balancer {
     balancer.set_endpoints(endpoints.iter(), now);
     balancer
 }
 
 /// A request for an object with 3 s left.
-pub fn ask(service: &ServiceName, object: u64) -> Ask<'_> {
+pub(crate) fn ask(service: &ServiceName, object: u64) -> Ask<'_> {
     Ask {
         service,
         object,
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -457,13 +457,17 @@
 ) -> Response<Body> {
     let ms = call.arrived.elapsed().as_millis();
     let context = format!(
-        "route={} service={} team={} version={} attempts={} endpoint={}",
+        "route={} service={} team={} version={} attempts={} endpoint={} region={}",
         call.route.name,
         call.service,
         call.team.as_ref().map_or("none", |team| team.name.as_str()),
         call.version,
         progress.tried.len(),
         logfmt::value(progress.last_target.as_ref().map_or("none", |t| &t.key.id)),
+        progress
+            .last_target
+            .as_ref()
+            .map_or("none", |t| t.region.as_str()),
     );
     let answer = match result {
         Ok(answer) => answer,
