Test the node against stand-ins for the store and backend servers

Each test runs the real process. They cover what backend servers and callers see of single requests (keys, teams, at most once, answers that are cut, crossed or unsigned, refusals), changes in the store and its outages, several nodes of a region, and stops.

--- /dev/null
+++ b/crates/filbertgrade/tests/node/scene.rs
@@ -0,0 +1,292 @@
+//! A store, backend servers and nodes, started for one test.
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+
+use crate::standin::endpoint::Endpoint;
+use crate::standin::store::Store;
+
+/// Longest wait for something that takes milliseconds on an idle machine.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub(crate) const KEY: &str = "key-of-atelier";
+
+pub(crate) struct Scene {
+    pub(crate) store: Store,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) nodes: Vec<Node>,
+    version: u64,
+}
+
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) lookups: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    _settings: TempDir,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// The body has the length that was announced.
+    pub(crate) whole: bool,
+}
+
+impl Scene {
+    /// Starts endpoints with the given work times, and one node.
+    pub(crate) async fn start(work_ms: &[u64]) -> Self {
+        Self::with_nodes(work_ms, 1).await
+    }
+
+    pub(crate) async fn with_nodes(work_ms: &[u64], nodes: usize) -> Self {
+        let store = Store::start().await;
+        let mut endpoints = Vec::new();
+        for (n, ms) in work_ms.iter().enumerate() {
+            let id = format!("i-{n}");
+            endpoints.push(Endpoint::start(&id, Duration::from_millis(*ms)).await);
+        }
+        let mut scene = Self {
+            store,
+            endpoints,
+            nodes: Vec::new(),
+            version: 0,
+        };
+        for endpoint in &scene.endpoints {
+            scene.register(endpoint, "ready");
+        }
+        scene.configure(|_| {});
+        for n in 0..nodes {
+            scene
+                .nodes
+                .push(Node::start(&format!("vm-{n}"), scene.store.address).await);
+        }
+        for node in &scene.nodes {
+            node.wait_ready().await;
+        }
+        scene
+    }
+
+    pub(crate) fn register(&self, endpoint: &Endpoint, state: &str) {
+        let spec = json!({"service": "charts", "address": endpoint.address.to_string(), "zone": "north-a",
+                          "version": "v1", "slots": 3, "state": state, "cold-remaining-s": 0, "seq-no": 1, "born": 5});
+        self.store.put("servers", &endpoint.id, spec);
+    }
+
+    /// Puts the next version of the configuration in force.
+    pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Value)) {
+        self.version += 3;
+        let route = |name: &str, kind: &str, public: bool| {
+            json!({"name": name, "hostname": "shop.example", "path-prefix": format!("/{name}/"), "route-type": kind,
+                   "timeout-s": 2, "target-latency-s": 0.5, "priority": 1, "service": "charts", "max-attempts": 2,
+                   "public": public, "sticky": true, "home-regions": []})
+        };
+        let mut spec = json!({
+            "version": format!("r{}", self.version),
+            "routes": [route("safe", "safe", false), route("order", "unsafe", false), route("open", "safe", true)],
+            "services": [{"name": "charts", "health-path": "/health", "max-conns": 100, "cold-start-s": 3.0, "cold-per-s": 3.5}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000, "header-timeout-s": 3, "idle-timeout-s": 15},
+            "tenants": [{"name": "atelier", "api-keys": [KEY], "priority": 0, "rate-per-s": 500, "burst": 100}],
+        });
+        change(&mut spec);
+        self.store.put("config", "main", spec);
+    }
+
+    /// Requests that endpoints ran, of all endpoints.
+    pub(crate) fn ran(&self) -> usize {
+        self.endpoints
+            .iter()
+            .map(|endpoint| endpoint.ran().len())
+            .sum()
+    }
+
+    pub(crate) async fn get(&self, route: &str, id: &str) -> Answer {
+        self.nodes[0].request("GET", route, id, Some(KEY)).await
+    }
+}
+
+impl Node {
+    async fn start(name: &str, store: SocketAddr) -> Self {
+        let [callers, lookups, ready, peers, metrics] = free_ports();
+        let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("settings.toml");
+        let settings = format!(
+            "node-name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"north-a\"\nregion = \"north\"\n\
+             internal-ports = [{peers}, {peers}]\n[zones]\nnorth-a = \"north\"\n\
+             [listen]\nfront = \"{}\"\ndirectory = \"{}\"\nready = \"{}\"\n\
+             [bounds]\ngrace-s = 6\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-slack = 20\n\
+             [platform]\naddress = \"{store}\"\n",
+            address(callers),
+            address(lookups),
+            address(ready),
+        );
+        std::fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_filbertgrade"))
+            .args(["node", "--metrics-port", &metrics.to_string(), "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let reading = Arc::clone(&lines);
+        let mut out = BufReader::new(child.stdout.take().unwrap()).lines();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = out.next_line().await {
+                reading.lock().unwrap().push(line);
+            }
+        });
+        Self {
+            name: name.to_owned(),
+            callers: address(callers),
+            lookups: address(lookups),
+            ready: address(ready),
+            child,
+            lines,
+            _settings: dir,
+        }
+    }
+
+    pub(crate) async fn request(
+        &self,
+        method: &str,
+        route: &str,
+        id: &str,
+        key: Option<&str>,
+    ) -> Answer {
+        let key = key.map_or(String::new(), |key| {
+            format!("authorization: Bearer {key}\r\n")
+        });
+        let head = format!(
+            "{method} /{route}/7 HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: {id}\r\n\
+             x-filbertgrade-affinity-key: 17\r\nx-filbertgrade-deadline-ms: 3000\r\n{key}connection: close\r\n\r\n"
+        );
+        exchange(self.callers, &head).await.unwrap()
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let head = "GET /-/ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        exchange(self.ready, head)
+            .await
+            .is_ok_and(|answer| answer.status == 200)
+    }
+
+    async fn wait_ready(&self) {
+        let began = Instant::now();
+        while !self.is_ready().await {
+            assert!(
+                began.elapsed() < PATIENCE,
+                "{} does not become ready",
+                self.name
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Callers' addresses that a look-up names.
+    pub(crate) async fn look_up(&self) -> Vec<String> {
+        let head = "GET /-/resolve?name=a&region=north&zone=north-a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        let answer = exchange(self.lookups, head).await.unwrap();
+        let body: Value = serde_json::from_str(&answer.body).unwrap();
+        let list = body["addrs"].as_array().unwrap();
+        list.iter()
+            .map(|address| address.as_str().unwrap().to_owned())
+            .collect()
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id().unwrap()).unwrap();
+        rustix::process::kill_process(rustix::process::Pid::from_raw(id).unwrap(), signal).unwrap();
+    }
+
+    /// Waits until the process has ended, and tells whether it ended well.
+    pub(crate) async fn ended(&mut self) -> bool {
+        self.child.wait().await.unwrap().success()
+    }
+
+    /// Waits for a log line that holds all parts.
+    pub(crate) async fn line_with(&self, parts: &[&str]) -> String {
+        let began = Instant::now();
+        loop {
+            let lines = self.lines.lock().unwrap().clone();
+            if let Some(line) = lines
+                .iter()
+                .find(|line| parts.iter().all(|part| line.contains(part)))
+            {
+                return line.clone();
+            }
+            assert!(
+                began.elapsed() < PATIENCE,
+                "no line with {parts:?} in:\n{}",
+                lines.join("\n")
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) fn log(&self) -> String {
+        self.lines.lock().unwrap().join("\n")
+    }
+}
+
+/// Waits until `check` holds.
+pub(crate) async fn eventually<F: Future<Output = bool>>(
+    what: &str,
+    check: impl Fn() -> F,
+) -> Duration {
+    let began = Instant::now();
+    while !check().await {
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    began.elapsed()
+}
+
+fn free_ports() -> [u16; 5] {
+    let held: Vec<StdListener> = (0..5)
+        .map(|_| StdListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let ports: Vec<u16> = held
+        .iter()
+        .map(|l| l.local_addr().unwrap().port())
+        .collect();
+    ports.try_into().unwrap()
+}
+
+async fn exchange(address: SocketAddr, head: &str) -> std::io::Result<Answer> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(head.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    // A connection that is reset may have delivered a part.
+    let _ = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let head = head.to_lowercase();
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    let length = crate::standin::endpoint::header(&head, "content-length");
+    Ok(Answer {
+        status,
+        whole: length.parse() == Ok(body.len()),
+        body: body.to_owned(),
+        head,
+    })
+}
--- /dev/null
+++ b/crates/filbertgrade/tests/node/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for what surrounds a node.
+
+pub(crate) mod endpoint;
+pub(crate) mod store;
--- /dev/null
+++ b/crates/filbertgrade/tests/node/standin/store.rs
@@ -0,0 +1,236 @@
+//! A stand-in for the platform's metadata store.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    None,
+    /// It takes calls and does not answer.
+    Silent,
+    /// It refuses calls.
+    Busy,
+}
+
+#[derive(Clone)]
+pub(crate) struct Store {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    trouble: watch::Sender<Trouble>,
+}
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    /// Revision, kind, object and whether it was removed.
+    log: Vec<(u64, String, Value, bool)>,
+    revision: u64,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    calls: u64,
+}
+
+impl Store {
+    pub(crate) async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+            trouble: watch::Sender::new(Trouble::None),
+        };
+        let serving = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = serving.clone();
+                let service = service_fn(move |req| {
+                    let store = store.clone();
+                    async move { Ok::<_, Infallible>(store.answer(req).await) }
+                });
+                tokio::spawn(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service),
+                );
+            }
+        });
+        store
+    }
+
+    pub(crate) fn set_trouble(&self, trouble: Trouble) {
+        self.trouble.send_replace(trouble);
+    }
+
+    pub(crate) fn calls(&self) -> u64 {
+        self.state.lock().unwrap().calls
+    }
+
+    pub(crate) fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        let key = (kind.to_owned(), name.to_owned());
+        state.objects.insert(key, (revision, spec.clone()));
+        let object = object(name, revision, &spec);
+        state.log.push((revision, kind.to_owned(), object, false));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    pub(crate) fn remove(&self, kind: &str, name: &str) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some((_, spec)) = state.objects.remove(&key) else {
+            return false;
+        };
+        state.revision += 1;
+        let revision = state.revision;
+        let object = object(name, revision, &spec);
+        state.log.push((revision, kind.to_owned(), object, true));
+        drop(state);
+        self.changed.send_replace(revision);
+        true
+    }
+
+    pub(crate) fn forget_history(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.forgotten = state.revision;
+        state.log.clear();
+    }
+
+    pub(crate) fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let of_kind = state.objects.keys().filter(|(k, _)| k == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.state.lock().unwrap().calls += 1;
+        let mut trouble = self.trouble.subscribe();
+        let now = *trouble.borrow_and_update();
+        match now {
+            Trouble::None => {}
+            Trouble::Busy => return reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+            Trouble::Silent => std::future::pending().await,
+        }
+        let (parts, body) = req.into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        let path = parts
+            .uri
+            .path()
+            .trim_start_matches("/-/objects/")
+            .to_owned();
+        let (kind, name) = match path.split_once('/') {
+            Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
+            None => (path, None),
+        };
+        let query = |key: &str| {
+            let query = parts.uri.query().unwrap_or("").to_owned();
+            let found = query
+                .split('&')
+                .find_map(|p| p.strip_prefix(&format!("{key}=")));
+            found.map(str::to_owned)
+        };
+        if parts.method == Method::GET {
+            let watch = query("watch").map(|revision| revision.parse().unwrap());
+            let wait = query("wait-ms").map_or(0, |ms| ms.parse().unwrap());
+            let answer = self.read(&kind, watch, Duration::from_millis(wait));
+            // A call that waits is lost with the store, or refused by it.
+            let lost = async {
+                let trouble = trouble.wait_for(|t| *t != Trouble::None).await;
+                trouble.map_or(Trouble::None, |trouble| *trouble)
+            };
+            return tokio::select! {
+                answer = answer => answer,
+                trouble = lost => match trouble {
+                    Trouble::Busy => reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+                    _ => std::future::pending().await,
+                },
+            };
+        }
+        self.write(&parts.method, &kind, name, &body)
+    }
+
+    async fn read(&self, kind: &str, watch: Option<u64>, wait: Duration) -> Response<Full<Bytes>> {
+        let Some(after) = watch else {
+            let state = self.state.lock().unwrap();
+            let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+            let items: Vec<Value> = of_kind
+                .map(|((_, name), (revision, spec))| object(name, *revision, spec))
+                .collect();
+            let list = json!({"items": items, "more": false, "as-of": state.revision});
+            return reply(StatusCode::OK, &list);
+        };
+        let mut changed = self.changed.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            {
+                let state = self.state.lock().unwrap();
+                if after < state.forgotten {
+                    return reply(StatusCode::GONE, &json!({}));
+                }
+                let newer = state
+                    .log
+                    .iter()
+                    .filter(|(at, k, _, _)| *at > after && k == kind);
+                let events: Vec<Value> = newer
+                    .map(|(_, _, object, deleted)| json!({"object": object, "deleted": deleted}))
+                    .collect();
+                if !events.is_empty() || tokio::time::Instant::now() >= deadline {
+                    let answer = json!({"events": events, "as-of": state.revision});
+                    return reply(StatusCode::OK, &answer);
+                }
+            }
+            let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
+        }
+    }
+
+    fn write(
+        &self,
+        method: &Method,
+        kind: &str,
+        name: Option<String>,
+        body: &Bytes,
+    ) -> Response<Full<Bytes>> {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let named = body["metadata"]["name"].as_str().map(str::to_owned);
+        let name = name.or(named).unwrap();
+        let exists = self.names(kind).contains(&name);
+        let status = match (method.as_str(), exists) {
+            ("POST", true) => StatusCode::CONFLICT,
+            ("PUT", false) => StatusCode::NOT_FOUND,
+            ("DELETE", _) if !self.remove(kind, &name) => StatusCode::NOT_FOUND,
+            ("DELETE", _) => StatusCode::OK,
+            _ => {
+                self.put(kind, &name, body["spec"].clone());
+                StatusCode::OK
+            }
+        };
+        reply(status, &json!({}))
+    }
+}
+
+fn object(name: &str, revision: u64, spec: &Value) -> Value {
+    json!({"metadata": {"name": name, "revision": revision, "created": 1, "finalizers": [], "deleting": false},
+           "spec": spec, "status": null})
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body.to_string().into()));
+    *answer.status_mut() = status;
+    answer
+}
