--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -877,6 +877,11 @@
     /// The choice may be taken: it answers in time, and a less urgent request
     /// does not fill the queue that more urgent ones need.
     fn permits(&self, ask: &Ask<'_>, choice: &Choice, now: Instant) -> bool {
+        // A time that was never measured is no reason to refuse a request for
+        // which a slot is free.
+        if self.first.is_none() && choice.wait <= 0.0 {
+            return true;
+        }
         if choice.cost > ask.time_left.as_secs_f64() * TIME_USED {
             return false;
         }
--- a/crates/filbertgrade-coord/tests/steering/balancer.rs
+++ b/crates/filbertgrade-coord/tests/steering/balancer.rs
@@ -288,3 +288,16 @@
         assert_ne!(send(&mut balancer, object, now).key, busy.key);
     }
 }
+
+/// Guards against refusals for want of time that nobody has measured: a route
+/// whose timeout is close to its target latency got no request through.
+#[test]
+fn first_request_is_sent_whatever_its_timeout() {
+    let now = Instant::now();
+    let list = [endpoint("one", "north", 3)];
+    let mut balancer = with_endpoints(balancer("a", "north", &NAMES), &list, now);
+    let service = service();
+    let mut req = ask(&service, 1);
+    req.time_left = req.target_latency;
+    assert!(matches!(balancer.pick(&req, now), Pick::Send(_)));
+}
--- a/crates/filbertgrade-coord/tests/steering/load.rs
+++ b/crates/filbertgrade-coord/tests/steering/load.rs
@@ -174,7 +174,7 @@
         while let Some(((time, _), event)) = self.events.pop_first() {
             match event {
                 Event::Arrive => self.arrive(time),
-                Event::Done(server, waiting) => self.done(server, waiting, time),
+                Event::Done(server, waiting) => self.done(server, &waiting, time),
                 Event::Back(waiting, outcome) => {
                     let now = self.start + time;
                     let vm = &mut self.vms[waiting.vm].1;
@@ -259,7 +259,7 @@
         self.at(time + work, Event::Done(number, waiting));
     }
 
-    fn done(&mut self, number: usize, waiting: Waiting, time: Duration) {
+    fn done(&mut self, number: usize, waiting: &Waiting, time: Duration) {
         self.servers[number].running -= 1;
         let latency = time - waiting.sent;
         if waiting.sent.as_secs_f64() >= self.load.judged_from {
--- a/crates/filbertgrade/src/process/command/error.rs
+++ b/crates/filbertgrade/src/process/command/error.rs
@@ -74,7 +74,7 @@
 }
 
 impl CommandError {
-    /// The exit code; `docs/operations.md` lists them.
+    /// The exit code; `docs/OPERATIONS.md` lists them.
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -1,6 +1,11 @@
 //! The node as a real process, against stand-ins for the platform's store and
 //! for backend servers.
 
+#![expect(
+    clippy::unwrap_used,
+    reason = "a set-up step that fails must fail the test"
+)]
+
 mod configuration;
 mod fleet;
 mod requests;
--- a/crates/filbertgrade/tests/node/standin/store.rs
+++ b/crates/filbertgrade/tests/node/standin/store.rs
@@ -84,8 +84,8 @@
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, (revision, spec.clone()));
         let object = object(name, revision, &spec);
+        state.objects.insert(key, (revision, spec));
         state.log.push((revision, kind.to_owned(), object, false));
         drop(state);
         self.changed.send_replace(revision);
