--- a/crates/filbertgrade-coord/src/steering/balancer.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer.rs
@@ -83,6 +83,9 @@
 const FIRST_GUESS: f64 = 1.2;
 const REPEAT_GUESS: f64 = 0.5;
 
+/// Part of the time left that a guess may take.
+const GUESS_USED: f64 = 0.5;
+
 /// How long an endpoint is assumed to remember an object.
 const OBJECT_MEMORY: Duration = Duration::from_secs(20);
 
@@ -835,12 +838,12 @@
     }
 
     fn first_time(&self, ask: &Ask<'_>) -> f64 {
-        let guess = ask.target_latency.as_secs_f64() * FIRST_GUESS;
+        let guess = guess(ask, FIRST_GUESS);
         self.first.unwrap_or(guess).max(self.repeat_time(ask))
     }
 
     fn repeat_time(&self, ask: &Ask<'_>) -> f64 {
-        let guess = ask.target_latency.as_secs_f64() * REPEAT_GUESS;
+        let guess = guess(ask, REPEAT_GUESS);
         self.repeat.unwrap_or(guess)
     }
 
@@ -877,11 +880,6 @@
     /// The choice may be taken: it answers in time, and a less urgent request
     /// does not fill the queue that more urgent ones need.
     fn permits(&self, ask: &Ask<'_>, choice: &Choice, now: Instant) -> bool {
-        // A time that was never measured is no reason to refuse a request for
-        // which a slot is free.
-        if self.first.is_none() && choice.wait <= 0.0 {
-            return true;
-        }
         if choice.cost > ask.time_left.as_secs_f64() * TIME_USED {
             return false;
         }
@@ -1077,6 +1075,13 @@
     }
 }
 
+/// The time of a request before any was measured. A guess must not be what a
+/// request is refused for.
+fn guess(ask: &Ask<'_>, part: f64) -> f64 {
+    let most = ask.time_left.as_secs_f64() * GUESS_USED;
+    (ask.target_latency.as_secs_f64() * part).min(most)
+}
+
 fn remember(objects: &mut HashMap<(u64, u64), Instant>, entry: (u64, u64), now: Instant) {
     if objects.len() >= MOST_OBJECTS {
         objects.retain(|_, at| now.saturating_duration_since(*at) <= OBJECT_MEMORY / 2);
--- a/crates/filbertgrade-coord/src/steering/quota.rs
+++ b/crates/filbertgrade-coord/src/steering/quota.rs
@@ -5,7 +5,7 @@
 //! other the rate at which each team's requests arrive; a VM admits the part
 //! of the team's rate that its own arrivals have in the sum.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -15,7 +15,7 @@
 
 /// Time over which arrivals are averaged. Shorter makes the parts jump with
 /// chance, longer lets callers that moved wait for their part.
-const DEMAND_TIME: Duration = Duration::from_millis(1_500);
+const DEMAND_TIME: Duration = Duration::from_millis(700);
 
 /// Part of a limit that is divided evenly although all of it is asked for, so
 /// that the first requests at a VM find tokens.
@@ -25,6 +25,19 @@
 /// intervals, because single datagrams are lost.
 const SILENT_AFTER: Duration = Duration::from_millis(1_600);
 
+/// Age of a heartbeat up to which it stands for the present. Beyond it a VM
+/// takes no larger part, because the sender's arrivals may have grown.
+const FRESH_FOR: Duration = Duration::from_millis(650);
+
+/// Requests a second of an equal part below which a VM takes a larger part at
+/// once. Single requests make such parts jump, and what all VMs together admit
+/// too much stays within the requests that users bear beyond a limit.
+const SMALL_PART: f64 = 4.0;
+
+/// How long a larger part must be due before it is taken. Arrivals of another
+/// region are heard of after two intervals of heartbeats.
+const RISE_AFTER: Duration = Duration::from_millis(800);
+
 /// How often the parts are computed anew.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -76,6 +89,10 @@
     /// Arrivals that the other VMs were told last, in requests a second.
     told: f64,
     divided_at: Option<Instant>,
+    /// Parts that were due lately, oldest first.
+    due: VecDeque<(Instant, f64)>,
+    /// The part in force.
+    share: f64,
 }
 
 /// Arrivals at one VM, or at all VMs of a region.
@@ -170,12 +187,8 @@
     /// Arrivals at all VMs of this region by team, for the other regions.
     pub fn region_demand(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
         let mut sum: IndexMap<TeamName, f64> = self.demand(now).into_iter().collect();
-        for peer in self
-            .others
-            .peers
-            .values()
-            .filter(|peer| peer.is_recent(now))
-        {
+        // A silent VM may still admit what it did.
+        for peer in self.others.peers.values() {
             for (team, rate) in &peer.teams {
                 *sum.entry(team.clone()).or_default() += rate.max(0.0);
             }
@@ -221,7 +234,14 @@
             return Admission::Admitted;
         }
         if part.is_division_due(now) {
-            let share = share(&mut self.others, team, part, now);
+            let is_small = part.limit.rate < SMALL_PART * self.others.vms() as f64;
+            let arrivals = if is_small {
+                part.demand.get(now)
+            } else {
+                part.told
+            };
+            let due = share(&mut self.others, team, part, arrivals, now);
+            let share = part.risen(due, is_small, now);
             let spare_burst = self.allowance / self.others.vms() as f64;
             part.divide(share, spare_burst, now);
         }
@@ -263,6 +283,12 @@
             .is_some_and(|at| now.saturating_duration_since(at) <= SILENT_AFTER)
     }
 
+    /// It may have stopped telling, and is not yet taken for silent.
+    fn is_stale(&self, now: Instant) -> bool {
+        let age = self.heard_at.map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age > FRESH_FOR && age <= SILENT_AFTER)
+    }
+
     fn hear(&mut self, teams: HashMap<TeamName, f64>, now: Instant) {
         self.heard_at = Some(now);
         self.teams = teams;
@@ -279,16 +305,31 @@
     }
 }
 
-/// The part of this VM in a team's limit, from 0 to 1.
+/// The part of this VM, where `own` requests a second arrive, in a team's
+/// limit; from 0 to 1.
 ///
 /// A VM that is silent may still admit the part that it had, because only the
 /// link to it may have failed. That part is left to it until it is no longer
 /// listed. Of the rest each VM has what arrives there, and an even part of what
 /// is spare; when nothing is spare, it is divided by arrivals.
-fn share(others: &mut Others, team: &TeamName, part: &TeamPart, now: Instant) -> f64 {
+///
+/// `None` while a VM may have stopped telling its arrivals.
+fn share(
+    others: &mut Others,
+    team: &TeamName,
+    part: &TeamPart,
+    own: f64,
+    now: Instant,
+) -> Option<f64> {
+    if others
+        .all()
+        .any(|(demand, _)| demand.is_some_and(|demand| demand.is_stale(now)))
+    {
+        return None;
+    }
     let equal = 1.0 / others.vms() as f64;
     let mut heard_vms = 1;
-    let mut arrivals = part.told;
+    let mut arrivals = own;
     // VMs of which nothing was heard yet have an equal part.
     let unheard = others.listed_peers.saturating_sub(others.peers.len());
     let mut reserved = unheard as f64 * equal;
@@ -314,7 +355,7 @@
             demand.parts.insert(team.clone(), of_limit(rate, vms));
         }
     }
-    of_limit(part.told, 1)
+    Some(of_limit(own, 1))
 }
 
 impl TeamPart {
@@ -325,7 +366,29 @@
             demand: Rate::new(DEMAND_TIME, now),
             told: 0.0,
             divided_at: None,
+            due: VecDeque::new(),
+            share: 0.0,
+        }
+    }
+
+    /// The part to take when `due` is due: `at_once` or when it is smaller, and
+    /// otherwise after a while.
+    fn risen(&mut self, due: Option<f64>, at_once: bool, now: Instant) -> f64 {
+        let due = match due {
+            Some(due) => due,
+            None if self.divided_at.is_some() => self.share,
+            None => return 0.0,
+        };
+        self.due.push_back((now, due));
+        while let Some((at, _)) = self.due.front() {
+            if now.saturating_duration_since(*at) <= RISE_AFTER {
+                break;
+            }
+            self.due.pop_front();
         }
+        let least = self.due.iter().map(|(_, due)| *due).fold(1.0, f64::min);
+        self.share = if at_once { due } else { least };
+        self.share
     }
 
     fn set_limit(&mut self, limit: Limit) {
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -66,7 +66,7 @@
 
 /// Part of what users bear beyond teams' rates that is used. The rest covers
 /// VMs that divide a rate at different instants.
-const ALLOWANCE_USED: f64 = 0.8;
+const ALLOWANCE_USED: f64 = 0.5;
 
 /// Time between looks for connections that waited too long, registrations that
 /// lapsed and VMs that went silent.
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -20,7 +20,7 @@
 
 /// Age of a relay's newest confirmation of the configuration beyond which it
 /// has lost the store. It is asked for more often than that.
-const MOST_AGE: Duration = Duration::from_millis(1_200);
+const MOST_AGE: Duration = Duration::from_millis(1_600);
 
 impl From<Event> for StoreEvent {
     fn from(event: Event) -> Self {
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -214,7 +214,9 @@
             Ok(update) => {
                 self.pause = RETRY_PAUSE;
                 answered(node, self.kind);
-                if !update.events.is_empty() && !update.whole {
+                // The age of the configuration tells whether the store is lost.
+                let collects = self.kind != Kind::Configuration;
+                if collects && !update.events.is_empty() && !update.whole {
                     tokio::time::sleep(COLLECT_TIME).await;
                 }
                 Next::Update(update)
