--- a/crates/filbertgrade/tests/operators/operator.rs
+++ b/crates/filbertgrade/tests/operators/operator.rs
@@ -167,15 +167,15 @@
         .args(["--store", "127.0.0.1:1"])
         .env("RUST_LOG", "info")
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
         .spawn()
         .unwrap();
     std::thread::sleep(Duration::from_millis(1500));
     agent.kill().unwrap();
     agent.wait().unwrap();
     let mut log = String::new();
-    agent.stderr.unwrap().read_to_string(&mut log).unwrap();
+    agent.stdout.unwrap().read_to_string(&mut log).unwrap();
     assert!(log.contains("event=watch_failed"), "{log}");
     for line in log.lines() {
         assert!(is_readable(line), "{line}");
