Keep a team's tokens at holders in each region instead of at every VM

Cause: every VM had a part of each team's rate by its own arrivals.

Now a region's part is kept by two VMs, chosen by rendezvous hashing among those in contact, and the others ask them by datagram; a VM that reaches no holder has an even part, which the holders leave to it once it is silent. Tokens are asked for ahead when a team sends much.

Test changed: the fleet of limits.rs asks holders as nodes do; checks and bounds are the same. Datagrams between VMs moved to wire/peer.rs.

--- a/crates/filbertgrade-coord/tests/steering/limits.rs
+++ b/crates/filbertgrade-coord/tests/steering/limits.rs
@@ -20,6 +20,8 @@
 /// as `heard` lets them.
 struct Fleet {
     vms: Vec<(usize, Quotas)>,
+    /// A VM that no other hears, and that hears no other.
+    cut: Option<usize>,
     admitted: Vec<Instant>,
     /// What regions told last; it arrives with the next telling, because one VM
     /// collects it first.
@@ -33,32 +35,42 @@
 
 impl Fleet {
     fn new(now: Instant) -> Self {
+        Self::with(9, LIMIT, now)
+    }
+
+    /// `count` VMs in three regions.
+    fn with(count: usize, limit: Limit, now: Instant) -> Self {
+        let of_region = count / 3;
         let name = |n: usize| vm(&format!("vm-{n}"));
         let mut vms = Vec::new();
-        for n in 0..9 {
-            let place = n / 3;
-            let mut quotas = Quotas::default();
+        for n in 0..count {
+            let place = n / of_region;
+            let mut quotas = Quotas::new(name(n));
             quotas.set_allowance(10.0);
-            quotas.set_limits([(team(), LIMIT)], now);
-            let peers: Vec<_> = (0..9)
-                .filter(|m| m / 3 == place && *m != n)
+            quotas.set_limits([(team(), limit)], now);
+            let peers: Vec<_> = (0..count)
+                .filter(|m| m / of_region == place && *m != n)
                 .map(name)
                 .collect();
             let others: IndexMap<_, _> = (0..3)
                 .filter(|p| *p != place)
-                .map(|p| (region(&format!("r{p}")), 3))
+                .map(|p| (region(&format!("r{p}")), of_region))
                 .collect();
             quotas.set_vms(&peers, &others);
             vms.push((place, quotas));
         }
         Self {
             vms,
+            cut: None,
             admitted: Vec::new(),
             late: vec![HashMap::new(); 3],
         }
     }
 
-    fn tell(&mut self, now: Instant, heard: impl Fn(usize, usize) -> bool) {
+    fn tell(&mut self, now: Instant) {
+        let of_region = self.vms.len() / 3;
+        let cut = self.cut;
+        let heard = |from, to| Some(from) != cut && Some(to) != cut;
         let demand: Vec<HashMap<_, _>> = self
             .vms
             .iter_mut()
@@ -66,7 +78,7 @@
             .collect();
         let regions: Vec<HashMap<_, _>> = (0..3)
             .map(|place| {
-                self.vms[place * 3]
+                self.vms[place * of_region]
                     .1
                     .region_demand(now)
                     .into_iter()
@@ -74,16 +86,16 @@
             })
             .collect();
         let regions = std::mem::replace(&mut self.late, regions);
-        for n in 0..9 {
+        for n in 0..self.vms.len() {
             for (m, told) in demand.iter().enumerate() {
-                if m != n && m / 3 == n / 3 && heard(m, n) {
+                if m != n && m / of_region == n / of_region && heard(m, n) {
                     self.vms[n]
                         .1
                         .heard(vm(&format!("vm-{m}")), told.clone(), now);
                 }
             }
             for (place, told) in regions.iter().enumerate() {
-                if place != n / 3 && heard(place * 3, n) {
+                if place != n / of_region && heard(place * of_region, n) {
                     let name = region(&format!("r{place}"));
                     self.vms[n].1.heard_region(name, told.clone(), now);
                 }
@@ -92,7 +104,20 @@
     }
 
     fn send(&mut self, n: usize, now: Instant) -> bool {
-        let admitted = self.vms[n].1.admit(&team(), now) == Admission::Admitted;
+        let mut admission = self.vms[n].1.admit(&team(), now);
+        while let Admission::Ask(request) = admission {
+            let holder = (0..self.vms.len())
+                .find(|m| vm(&format!("vm-{m}")) == request.holder)
+                .unwrap();
+            admission = if self.cut.is_some_and(|cut| cut == n || cut == holder) {
+                self.vms[n].1.unanswered(request, now)
+            } else {
+                let (tokens, arrivals) = (request.tokens, request.arrivals);
+                let grant = self.vms[holder].1.grant(&team(), tokens, arrivals, now);
+                self.vms[n].1.answered(request, grant, now)
+            };
+        }
+        let admitted = admission == Admission::Admitted;
         if admitted {
             self.admitted.push(now);
         }
@@ -134,8 +159,8 @@
     for step in 0..(20 * 448_u64) {
         let now = start + Duration::from_micros(step * 1_000_000 / 448);
         if step % 224 == 0 {
-            let cut_now = cut.filter(|_| step > 5 * 448);
-            fleet.tell(now, |from, to| Some(from) != cut_now && Some(to) != cut_now);
+            fleet.cut = cut.filter(|_| step > 5 * 448);
+            fleet.tell(now);
         }
         // Before that, a calm time in which tokens collect.
         if step < 5 * 448 && step % 14 != 0 {
@@ -162,7 +187,7 @@
     for step in 0..(20 * 40_u64) {
         let now = start + Duration::from_millis(step * 25);
         if step % 20 == 0 {
-            fleet.tell(now, |_, _| true);
+            fleet.tell(now);
         }
         let senders = if step < 400 { before } else { after };
         let sender = senders[usize::try_from(step).unwrap() % senders.len()];
@@ -179,6 +204,65 @@
     );
 }
 
+/// Guards against refusals of a team that sends less than its rate through so
+/// many VMs that each sees a fraction of a request a second, and against too
+/// much for it when all of them admit at once.
+#[test]
+fn team_over_many_vms_has_its_rate_and_no_more() {
+    let limit = Limit {
+        rate: 20.0,
+        burst: 20.0,
+    };
+    let start = Instant::now();
+    let mut fleet = Fleet::with(72, limit, start);
+    let mut rng = 7_u64;
+    let (mut sent, mut refused) = (0, 0);
+    for step in 0..(30 * 160_u64) {
+        let now = start + Duration::from_micros(step * 1_000_000 / 160);
+        if step % 80 == 0 {
+            fleet.tell(now);
+        }
+        // Three quarters of the rate for 20 s, then eight times the rate.
+        let calm = step < 20 * 160;
+        rng = rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        if calm && (rng >> 33) % 160 >= 15 {
+            continue;
+        }
+        let admitted = fleet.send(usize::try_from((rng >> 40) % 72).unwrap(), now);
+        if calm && step > 5 * 160 {
+            sent += 1;
+            refused += u32::from(!admitted);
+        }
+    }
+    assert!(
+        f64::from(refused) <= f64::from(sent) * 0.05,
+        "{refused} of {sent} refused below the rate"
+    );
+    let borne = (20.0 * 5.0 + 20.0) * 1.1 + 20.0;
+    let most = fleet.most();
+    assert!(most as f64 <= borne, "{most} in 5 s, {borne} are borne");
+}
+
+/// Guards against a team that is refused everywhere while the VMs that hold its
+/// tokens are down and not yet known to be.
+#[test]
+fn quiet_team_is_admitted_when_its_holders_are_silent() {
+    let start = Instant::now();
+    let mut quotas = Quotas::new(vm("vm-0"));
+    quotas.set_limits([(team(), LIMIT)], start);
+    let peers: Vec<_> = (1..9).map(|n| vm(&format!("vm-{n}"))).collect();
+    quotas.set_vms(&peers, &IndexMap::new());
+    for peer in &peers {
+        quotas.heard(peer.clone(), HashMap::new(), start);
+    }
+    let now = start + Duration::from_secs(1);
+    let mut admission = quotas.admit(&team(), now);
+    while let Admission::Ask(request) = admission {
+        admission = quotas.unanswered(request, now);
+    }
+    assert_eq!(admission, Admission::Admitted);
+}
+
 /// Guards against more repeats than users bear when every request fails.
 #[test]
 fn repeats_keep_their_budget() {
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod stop;
 mod store;
+mod tokens;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
 use self::body::BodyBudget;
 use self::clock::SuspensionDetector;
 use self::copy::Copies;
+use self::tokens::TokenQuestions;
 use crate::connection::{Pool, PoolLimits};
 use crate::logfmt;
 use crate::process::operator;
@@ -121,6 +123,8 @@
     pub(crate) has_endpoints: AtomicBool,
     pub(crate) balancer: Mutex<Balancer>,
     pub(crate) quotas: Mutex<Quotas>,
+    /// Questions to other VMs about teams' limits.
+    tokens: TokenQuestions,
     pub(crate) members: Mutex<Members>,
     pub(crate) evidence: Mutex<StoreEvidence>,
     pub(crate) suspension: Mutex<SuspensionDetector>,
@@ -146,7 +150,7 @@
 }
 
 impl Node {
-    fn new(settings: Settings) -> Self {
+    fn new(settings: Settings, peers: Arc<UdpSocket>) -> Self {
         let incarnation = rand::random();
         let limits = PoolLimits {
             proof_age: PROOF_AGE,
@@ -159,6 +163,7 @@
             has_endpoints: AtomicBool::new(false),
             balancer: Mutex::new(Balancer::new(balancer_config(&settings))),
             quotas: Mutex::new(quotas(&settings)),
+            tokens: TokenQuestions::new(peers),
             members: Mutex::new(Members::new(member(&settings, incarnation))),
             evidence: Mutex::default(),
             suspension: Mutex::new(SuspensionDetector::new()),
@@ -238,7 +243,7 @@
 }
 
 fn quotas(settings: &Settings) -> Quotas {
-    let mut quotas = Quotas::default();
+    let mut quotas = Quotas::new(settings.vm.clone());
     quotas.set_allowance(settings.bounds.rate_allowance * ALLOWANCE_USED);
     quotas
 }
@@ -266,8 +271,6 @@
     let reload = reload_signal().map_err(NodeError::Signals)?;
     let listeners = Listeners::bind(&settings, metrics_port).await?;
     operator::record_metrics();
-    let node = Arc::new(Node::new(settings));
-    log_start(&node);
     let Listeners {
         callers,
         lookups,
@@ -277,6 +280,8 @@
         operators,
     } = listeners;
     let peers = Arc::new(peers);
+    let node = Arc::new(Node::new(settings, Arc::clone(&peers)));
+    log_start(&node);
     tokio::spawn(dump::operator_port(&node).serve(operators));
     tokio::spawn(callers::serve_questions(Arc::clone(&node), lookups));
     tokio::spawn(callers::serve_questions(Arc::clone(&node), ready));
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -8,7 +8,6 @@
 use filbertgrade_coord::steering::deployment::{Deployment, Route, Team};
 use filbertgrade_coord::steering::endpoint::EndpointKey;
 use filbertgrade_coord::steering::placement::object_hash;
-use filbertgrade_coord::steering::quota::Admission;
 use filbertgrade_coord::steering::retry::second_attempt_after;
 use filbertgrade_platform::headers::RequestHead;
 use futures::StreamExt;
@@ -21,6 +20,7 @@
 use super::answer::{self, Body};
 use super::attempt::{self, Reply};
 use super::body::{BodyFault, Upload};
+use super::tokens;
 use crate::logfmt;
 use crate::request::{
     self, AttemptState, Cause, Failure, NextStep, Refusal, Situation, remove_hop_by_hop,
@@ -182,7 +182,7 @@
     });
     remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
-    let call = Call {
+    Ok(Call {
         body_bytes: content_length(&parts),
         has_object,
         object,
@@ -194,9 +194,7 @@
         head,
         route,
         team,
-    };
-    admit(node, &call, arrived)?;
-    Ok(call)
+    })
 }
 
 fn content_length(parts: &Parts) -> u64 {
@@ -255,14 +253,15 @@
     }
 }
 
-fn admit(node: &Node, call: &Call, now: Instant) -> Result<(), Refused> {
+async fn admit(node: &Node, call: &Call) -> Result<(), Refused> {
     let Some(team) = &call.team else {
         return Ok(());
     };
-    match lock(&node.quotas).admit(&team.name, now) {
-        Admission::Admitted => Ok(()),
-        Admission::Refused(after) => Err(Refused::come_back(Cause::OverRate, after)),
-    }
+    let after = match tokens::admit(node, &team.name, call.id(), call.arrived).await {
+        Ok(()) => return Ok(()),
+        Err(after) => after,
+    };
+    Err(Refused::come_back(Cause::OverRate, after))
 }
 
 async fn carry(
@@ -271,6 +270,7 @@
     body: Incoming,
     progress: &mut Progress,
 ) -> Result<Response<Body>, Refused> {
+    admit(node, call).await?;
     lock(&node.balancer).count_request(&call.service, call.priority(), call.arrived);
     let mut upload = read_body(node, call, body).await?;
     let mut running = FuturesUnordered::new();
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -12,6 +12,7 @@
 use super::heartbeat::Reach;
 use super::{Node, heartbeat, read_settings, store};
 use crate::logfmt;
+use crate::sync::lock;
 
 /// How long after it was told to stop a VM still accepts connections: three
 /// times the time to live of a look-up, for which some callers keep it.
@@ -55,6 +56,7 @@
         node.settings.load().vm
     );
     node.leaving.send_replace(true);
+    lock(&node.quotas).leave();
     heartbeat::send_once(node, peers, Reach::Fleet).await;
     tokio::spawn(store::delist(Arc::clone(node)));
 }
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -4,6 +4,7 @@
 //! them with `TryFrom`, which checks every field.
 
 mod loans;
+pub(crate) mod peer;
 mod store;
 
 pub use loans::LoanMessageError;
