--- a/crates/filbertgrade/tests/node/standin/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::common::lock;
+
 /// What an endpoint does with its requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Conduct {
+pub enum Conduct {
+    /// It serves them.
     Serves,
     /// It says that it did not run the request.
     Refuses,
@@ -29,22 +32,38 @@
     IsAnother,
 }
 
-#[derive(Clone)]
-pub(crate) struct Endpoint {
-    pub(crate) id: String,
-    pub(crate) address: SocketAddr,
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub id: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
     conduct: Arc<Mutex<Conduct>>,
     work: Duration,
-    /// Heads of the requests that it ran.
-    ran: Arc<Mutex<Vec<String>>>,
+    ran: Arc<Mutex<Vec<Run>>>,
+}
+
+/// A request that an endpoint ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Its head in lower case.
+    pub head: String,
+    /// When the work began.
+    pub at: Instant,
 }
 
 impl Endpoint {
-    pub(crate) async fn start(id: &str, work: Duration) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// Starts an endpoint whose work takes a given time on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn start(id: &str, work: Duration) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
         let endpoint = Self {
             id: id.to_owned(),
-            address: listener.local_addr().unwrap(),
+            address: listener.local_addr()?,
             conduct: Arc::new(Mutex::new(Conduct::Serves)),
             work,
             ran: Arc::default(),
@@ -57,16 +76,22 @@
                 tokio::spawn(async move { drop(endpoint.serve(stream).await) });
             }
         });
-        endpoint
+        Ok(endpoint)
     }
 
-    pub(crate) fn conduct(&self, conduct: Conduct) {
-        *self.conduct.lock().unwrap() = conduct;
+    /// Changes what it does with its requests.
+    pub fn conduct(&self, conduct: Conduct) {
+        *lock(&self.conduct) = conduct;
     }
 
     /// Heads of the requests that it ran, in lower case.
-    pub(crate) fn ran(&self) -> Vec<String> {
-        self.ran.lock().unwrap().clone()
+    pub fn ran(&self) -> Vec<String> {
+        lock(&self.ran).iter().map(|run| run.head.clone()).collect()
+    }
+
+    /// The requests that it ran after the first `count`.
+    pub fn runs_since(&self, count: usize) -> Vec<Run> {
+        lock(&self.ran).iter().skip(count).cloned().collect()
     }
 
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
@@ -75,7 +100,7 @@
             let Some(head) = read_request(&mut stream, &mut buf).await? else {
                 return Ok(());
             };
-            let conduct = *self.conduct.lock().unwrap();
+            let conduct = *lock(&self.conduct);
             let id = header(&head, "x-filbertgrade-request-id");
             match conduct {
                 Conduct::Refuses => {
@@ -91,7 +116,8 @@
                 }
                 _ => {}
             }
-            self.ran.lock().unwrap().push(head);
+            let at = Instant::now();
+            lock(&self.ran).push(Run { head, at });
             tokio::time::sleep(self.work).await;
             match conduct {
                 Conduct::LosesAnswer => return Ok(()),
@@ -150,8 +176,8 @@
     }
 }
 
-/// The value of a header in a head in lower case.
-pub(crate) fn header(head: &str, name: &str) -> String {
+/// The value of a header in a head in lower case; empty when it is missing.
+pub fn header(head: &str, name: &str) -> String {
     let line = head
         .lines()
         .find_map(|line| line.strip_prefix(&format!("{name}: ")));
--- a/crates/filbertgrade/tests/node/standin/store.rs
+++ b/crates/filbertgrade-standins/src/node/store.rs
@@ -16,9 +16,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::common::lock;
+
 /// What the store does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Trouble {
+pub enum Trouble {
+    /// Nothing.
     None,
     /// It takes calls and does not answer.
     Silent,
@@ -26,15 +29,17 @@
     Busy,
 }
 
-#[derive(Clone)]
-pub(crate) struct Store {
-    pub(crate) address: SocketAddr,
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Where it takes calls.
+    pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: watch::Sender<u64>,
     trouble: watch::Sender<Trouble>,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct State {
     objects: BTreeMap<(String, String), (u64, Value)>,
     /// Revision, kind, object and whether it was removed.
@@ -46,10 +51,15 @@
 }
 
 impl Store {
-    pub(crate) async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// Starts an empty store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
         let store = Self {
-            address: listener.local_addr().unwrap(),
+            address: listener.local_addr()?,
             state: Arc::default(),
             changed: watch::Sender::new(0),
             trouble: watch::Sender::new(Trouble::None),
@@ -68,20 +78,22 @@
                 );
             }
         });
-        store
+        Ok(store)
     }
 
-    pub(crate) fn set_trouble(&self, trouble: Trouble) {
+    /// Begins or ends a trouble.
+    pub fn set_trouble(&self, trouble: Trouble) {
         self.trouble.send_replace(trouble);
     }
 
     /// Calls that cost their full price.
-    pub(crate) fn calls(&self) -> u64 {
-        self.state.lock().unwrap().calls
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
     }
 
-    pub(crate) fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.state.lock().unwrap();
+    /// Creates or replaces an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -92,8 +104,9 @@
         self.changed.send_replace(revision);
     }
 
-    pub(crate) fn remove(&self, kind: &str, name: &str) -> bool {
-        let mut state = self.state.lock().unwrap();
+    /// Removes an object. Returns false when there was none.
+    pub fn remove(&self, kind: &str, name: &str) -> bool {
+        let mut state = lock(&self.state);
         let key = (kind.to_owned(), name.to_owned());
         let Some((_, spec)) = state.objects.remove(&key) else {
             return false;
@@ -107,23 +120,31 @@
         true
     }
 
-    pub(crate) fn forget_history(&self) {
-        let mut state = self.state.lock().unwrap();
+    /// Forgets all changes, so that watches have to begin anew.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
         state.forgotten = state.revision;
         state.log.clear();
     }
 
-    pub(crate) fn names(&self, kind: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = lock(&self.state);
         let of_kind = state.objects.keys().filter(|(k, _)| k == kind);
         of_kind.map(|(_, name)| name.clone()).collect()
     }
 
+    fn revision_of(&self, kind: &str, name: &str) -> Option<u64> {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = lock(&self.state);
+        state.objects.get(&key).map(|(revision, _)| *revision)
+    }
+
     async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         // Reads that may be stale cost a tenth.
         let is_stale = |query: &str| query.split('&').any(|part| part == "stale-ok=1");
         if !req.uri().query().is_some_and(is_stale) {
-            self.state.lock().unwrap().calls += 1;
+            lock(&self.state).calls += 1;
         }
         let mut trouble = self.trouble.subscribe();
         let now = *trouble.borrow_and_update();
@@ -133,7 +154,10 @@
             Trouble::Silent => std::future::pending().await,
         }
         let (parts, body) = req.into_parts();
-        let body = body.collect().await.unwrap().to_bytes();
+        let Ok(body) = body.collect().await else {
+            return reply(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let body = body.to_bytes();
         let path = parts
             .uri
             .path()
@@ -151,8 +175,8 @@
             found.map(str::to_owned)
         };
         if parts.method == Method::GET {
-            let watch = query("watch").map(|revision| revision.parse().unwrap());
-            let wait = query("wait-ms").map_or(0, |ms| ms.parse().unwrap());
+            let watch = query("watch").and_then(|revision| revision.parse().ok());
+            let wait = query("wait-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
             let answer = self.read(&kind, watch, Duration::from_millis(wait));
             // A call that waits is lost with the store, or refused by it.
             let lost = async {
@@ -167,12 +191,13 @@
                 },
             };
         }
-        self.write(&parts.method, &kind, name, &body)
+        let revision = query("revision").and_then(|revision| revision.parse().ok());
+        self.write(&parts.method, &kind, name, revision, &body)
     }
 
     async fn read(&self, kind: &str, watch: Option<u64>, wait: Duration) -> Response<Full<Bytes>> {
         let Some(after) = watch else {
-            let state = self.state.lock().unwrap();
+            let state = lock(&self.state);
             let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
             let items: Vec<Value> = of_kind
                 .map(|((_, name), (revision, spec))| object(name, *revision, spec))
@@ -184,7 +209,7 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             {
-                let state = self.state.lock().unwrap();
+                let state = lock(&self.state);
                 if after < state.forgotten {
                     return reply(StatusCode::GONE, &json!({}));
                 }
@@ -209,14 +234,19 @@
         method: &Method,
         kind: &str,
         name: Option<String>,
+        revision: Option<u64>,
         body: &Bytes,
     ) -> Response<Full<Bytes>> {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let named = body["metadata"]["name"].as_str().map(str::to_owned);
-        let name = name.or(named).unwrap();
+        let Some(name) = name.or(named) else {
+            return reply(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let moved = revision.is_some_and(|wanted| self.revision_of(kind, &name) != Some(wanted));
         let exists = self.names(kind).contains(&name);
         let status = match (method.as_str(), exists) {
             ("POST", true) => StatusCode::CONFLICT,
+            (_, true) if moved => StatusCode::CONFLICT,
             ("PUT", false) => StatusCode::NOT_FOUND,
             ("DELETE", _) if !self.remove(kind, &name) => StatusCode::NOT_FOUND,
             ("DELETE", _) => StatusCode::OK,
--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::scene::{Scene, eventually};
-use crate::standin::store::Trouble;
+use filbertgrade_standins::node::store::Trouble;
 
 /// Time in which users ask for a change to be in force.
 const IN_FORCE: Duration = Duration::from_millis(2_500);
--- a/crates/filbertgrade/tests/node/fleet.rs
+++ b/crates/filbertgrade/tests/node/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::scene::{Node, Scene, eventually};
-use crate::standin::store::Trouble;
+use filbertgrade_standins::node::store::Trouble;
 
 /// Guards against look-ups that name a killed node for long, and nodes that do
 /// not find each other.
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -10,5 +10,4 @@
 mod fleet;
 mod requests;
 mod scene;
-mod standin;
 mod stop;
--- a/crates/filbertgrade/tests/node/requests.rs
+++ b/crates/filbertgrade/tests/node/requests.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use crate::scene::{KEY, Scene};
-use crate::standin::endpoint::{Conduct, header};
+use filbertgrade_standins::node::endpoint::{Conduct, header};
 
 /// Guards against a request that reaches a backend server with the caller's
 /// key, without its team, or for another endpoint.
--- a/crates/filbertgrade/tests/node/scene.rs
+++ b/crates/filbertgrade/tests/node/scene.rs
@@ -11,8 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 
-use crate::standin::endpoint::Endpoint;
-use crate::standin::store::Store;
+use filbertgrade_standins::node::endpoint::Endpoint;
+use filbertgrade_standins::node::store::Store;
 
 /// Longest wait for something that takes milliseconds on an idle machine.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -53,11 +53,15 @@
     }
 
     pub(crate) async fn with_nodes(work_ms: &[u64], nodes: usize) -> Self {
-        let store = Store::start().await;
+        let store = Store::start().await.unwrap();
         let mut endpoints = Vec::new();
         for (n, ms) in work_ms.iter().enumerate() {
             let id = format!("i-{n}");
-            endpoints.push(Endpoint::start(&id, Duration::from_millis(*ms)).await);
+            endpoints.push(
+                Endpoint::start(&id, Duration::from_millis(*ms))
+                    .await
+                    .unwrap(),
+            );
         }
         let mut scene = Self {
             store,
@@ -282,7 +286,7 @@
         .nth(1)
         .and_then(|s| s.parse().ok())
         .unwrap_or(0);
-    let length = crate::standin::endpoint::header(&head, "content-length");
+    let length = filbertgrade_standins::node::endpoint::header(&head, "content-length");
     Ok(Answer {
         status,
         whole: length.parse() == Ok(body.len()),
--- a/crates/filbertgrade/tests/node/stop.rs
+++ b/crates/filbertgrade/tests/node/stop.rs
@@ -22,7 +22,7 @@
     let (answer, ()) = tokio::join!(request, stop);
     assert_eq!((answer.status, answer.whole), (200, true));
     assert_eq!(
-        crate::standin::endpoint::header(&answer.head, "connection"),
+        filbertgrade_standins::node::endpoint::header(&answer.head, "connection"),
         "close"
     );
     assert!(!stopping.is_ready().await);
