Explain a failed request from logs, and check that the page lists each event

filbertgrade explain ID FILE... prints the lines of a request over several logs in the order of time, what each node believed then, and the cause in a sentence. Lines carry the time of day (ts), which decides nothing. A test brings about nine causes at a real node and reads the cause from its log; another finds every event in the sources on docs/OPERATIONS.md.

The first of them found that an endpoint that was gone from a list, not from a change, was not logged as removed: it is now, with endpoints_listed.

--- a/crates/filbertgrade/src/lib.rs
+++ b/crates/filbertgrade/src/lib.rs
@@ -15,6 +15,7 @@
 //! `docs/design.md` holds the design and its reasons.
 
 pub mod connection;
+pub mod explain;
 pub mod logfmt;
 pub mod platform;
 pub mod process;
--- a/crates/filbertgrade/src/main.rs
+++ b/crates/filbertgrade/src/main.rs
@@ -62,7 +62,7 @@
     })
 }
 
-/// One line for each event: time, level, module, then `event=` and its fields.
+/// One line for each event: level, module, time, then `event=` and its fields.
 ///
 /// Daemons log at level info by default, commands only failures.
 fn init_logs(command: &FilbertgradeCmd) {
--- a/crates/filbertgrade/src/process/command/flags.rs
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -166,6 +166,13 @@
             /// Port for links between agents.
             optional --agent-peer-port port: String
         }
+        /// Tells the story of one request from the logs of several processes.
+        cmd explain {
+            /// Id of the request.
+            required id: String
+            /// Log files.
+            repeated file: PathBuf
+        }
         /// Shows the state of one process.
         cmd dump {
             /// Address of the operator port of an entry or agent.
--- a/crates/filbertgrade/src/process/command/mod.rs
+++ b/crates/filbertgrade/src/process/command/mod.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod drain;
 mod error;
+mod explain;
 pub mod flags;
 mod key;
 mod status;
@@ -63,5 +64,6 @@
             status::status(&settings).await
         }
         FilbertgradeCmd::Dump(flags) => status::dump(flags.address).await,
+        FilbertgradeCmd::Explain(flags) => explain::explain(&flags.id, &flags.file),
     }
 }
--- a/crates/filbertgrade/src/process/logs.rs
+++ b/crates/filbertgrade/src/process/logs.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use crate::sync::lock;
 
@@ -76,9 +76,10 @@
         .format(|out, record| {
             writeln!(
                 out,
-                "level={} target={} {}",
+                "level={} target={} ts={:.3} {}",
                 record.level().as_str().to_lowercase(),
                 record.target(),
+                seconds_since_1970(),
                 record.args()
             )
         })
@@ -92,6 +93,14 @@
     });
 }
 
+/// The time of day, for who reads the lines of several processes. Nothing is
+/// decided by it.
+fn seconds_since_1970() -> f64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0.0, |time| time.as_secs_f64())
+}
+
 /// Writes what waits, before the process ends.
 pub fn flush() {
     if let Some(buffer) = BUFFER.get() {
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -12,7 +12,7 @@
 use filbertgrade_coord::steering::endpoint::Endpoint;
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::Limit;
-use filbertgrade_coord::steering::registry::RegistryChange;
+use filbertgrade_coord::steering::registry::{Registry, RegistryChange};
 use filbertgrade_platform::objects::{self, Kind, NEWEST_CONFIGURATION};
 use filbertgrade_platform::store::{Event, Object, StoreClient, StoreError};
 use indexmap::IndexMap;
@@ -489,10 +489,24 @@
     const WAIT: Duration = Duration::from_millis(2_500);
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
-        let list = objects.into_iter().map(registration).collect();
+        let list: Vec<(Arc<str>, Option<Endpoint>)> =
+            objects.into_iter().map(registration).collect();
         let now = Instant::now();
         let back_at = back_at(node);
-        lock(&node.registry).replace(list, revision, now, back_at);
+        let count = list.len();
+        let removed = {
+            let mut registry = lock(&node.registry);
+            let before: HashSet<Arc<str>> = ids(&registry);
+            registry.replace(list, revision, now, back_at);
+            before
+                .difference(&ids(&registry))
+                .cloned()
+                .collect::<Vec<_>>()
+        };
+        log::info!("event=endpoints_listed revision={revision} count={count}");
+        for id in removed {
+            log_change(&RegistryChange::Removed(id));
+        }
         node.has_endpoints.store(true, Ordering::Release);
         endpoints_changed(node, now);
         node.read.send_replace(());
@@ -519,6 +533,13 @@
     }
 }
 
+fn ids(registry: &Registry) -> HashSet<Arc<str>> {
+    let endpoints = registry.endpoints();
+    endpoints
+        .map(|endpoint| Arc::clone(&endpoint.key.id))
+        .collect()
+}
+
 fn back_at(node: &Node) -> Option<Instant> {
     let outage = lock(&node.evidence).last_outage();
     outage.map(|outage| outage.ended_at)
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod configuration;
+mod explain;
 mod fleet;
 mod requests;
 mod scene;
