Split what a VM holds of a team's limit from what it asks for

quota/mod.rs keeps the decisions; the buckets of a holder and the tokens that were asked for have files of their own.

--- a/crates/filbertgrade-coord/src/steering/quota/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/quota/mod.rs
@@ -10,16 +10,19 @@
 //! is not answered has a small part of its own, which the holders leave to it
 //! once they hear nothing of it.
 
+mod asked;
 mod division;
+mod held;
 mod rate;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
+use self::asked::AskedPart;
 use self::division::Others;
-use self::rate::Rate;
+use self::held::HeldPart;
 use crate::bucket::{Part, TokenBucket};
 use crate::names::{RegionName, TeamName, VmName};
 use crate::rendezvous;
@@ -37,10 +40,6 @@
 /// too much stays within the requests that users bear beyond a limit.
 const SMALL_PART: f64 = 8.0;
 
-/// How long a larger part must be due before it is taken. Arrivals of another
-/// region are heard of after two intervals of heartbeats.
-const RISE_AFTER: Duration = Duration::from_millis(800);
-
 /// How often parts are computed anew, and the VMs in contact looked at.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -48,10 +47,6 @@
 /// requests costs few questions.
 const AHEAD_TIME: Duration = Duration::from_millis(100);
 
-/// How long tokens that were asked for ahead can be used. Older ones would add
-/// to a burst.
-const AHEAD_LIFETIME: Duration = Duration::from_millis(200);
-
 /// Longest time for which a VM refuses a team's requests without asking again.
 const EMPTY_TIME: Duration = Duration::from_millis(50);
 
@@ -143,34 +138,6 @@
     asked: AskedPart,
 }
 
-/// What a VM keeps for a team as one of its holders.
-#[derive(Debug)]
-struct HeldPart {
-    bucket: TokenBucket,
-    arrivals: Rate,
-    /// Arrivals that the other VMs were told last, in requests a second.
-    told: f64,
-    divided_at: Option<Instant>,
-    /// Parts that were due lately, oldest first.
-    due: VecDeque<(Instant, f64)>,
-    /// The part in force, from 0 to 1.
-    share: f64,
-}
-
-/// What a VM knows of a team from the holders' answers.
-#[derive(Debug)]
-struct AskedPart {
-    arrivals: Rate,
-    /// Tokens that were asked for ahead, and until when they can be used.
-    ahead: Option<(u32, Instant)>,
-    /// No holder had a token: until when that stands, and the wait it told.
-    empty: Option<(Instant, Duration)>,
-    /// Arrivals that no holder was told.
-    uncounted: u32,
-    /// For requests whose holders cannot be reached.
-    alone: TokenBucket,
-}
-
 impl Quotas {
     /// Starts without limits, on a VM that knows of no others.
     pub fn new(me: VmName) -> Self {
@@ -467,21 +434,8 @@
         Self {
             limit,
             holders: None,
-            held: HeldPart {
-                bucket: one_token(now),
-                arrivals: Rate::new(DEMAND_TIME, now),
-                told: 0.0,
-                divided_at: None,
-                due: VecDeque::new(),
-                share: 0.0,
-            },
-            asked: AskedPart {
-                arrivals: Rate::new(DEMAND_TIME, now),
-                ahead: None,
-                empty: None,
-                uncounted: 0,
-                alone: one_token(now),
-            },
+            held: HeldPart::new(now),
+            asked: AskedPart::new(now),
         }
     }
 
@@ -515,57 +469,3 @@
     bucket.add_part(Part::new(0.0, 1.0).unwrap_or(Part::ZERO), 1.0, now);
     bucket
 }
-
-impl HeldPart {
-    fn is_division_due(&self, now: Instant) -> bool {
-        self.divided_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= DIVIDE_INTERVAL)
-    }
-
-    /// The part to take when `due` is due: `at_once` or when it is smaller, and
-    /// otherwise after a while.
-    fn risen(&mut self, due: f64, at_once: bool, now: Instant) -> f64 {
-        self.due.push_back((now, due));
-        while let Some((at, _)) = self.due.front() {
-            if now.saturating_duration_since(*at) <= RISE_AFTER {
-                break;
-            }
-            self.due.pop_front();
-        }
-        let least = self.due.iter().map(|(_, due)| *due).fold(1.0, f64::min);
-        self.share = if at_once { due } else { least };
-        self.share
-    }
-
-    /// Takes one token, and of those wanted beyond it at most half of what is
-    /// left, so that other VMs find some.
-    fn take(&mut self, wanted: u32, now: Instant) -> Grant {
-        if !self.bucket.try_take(now) {
-            let wait = self.bucket.time_until(1, now);
-            return Grant::Empty(wait.unwrap_or(DEMAND_TIME));
-        }
-        let spare = (self.bucket.tokens() / 2.0) as u32;
-        let ahead = spare.min(wanted - 1);
-        self.bucket.withdraw(f64::from(ahead), now);
-        Grant::Tokens(1 + ahead)
-    }
-}
-
-impl AskedPart {
-    fn take_ahead(&mut self, now: Instant) -> bool {
-        match &mut self.ahead {
-            Some((tokens, until)) if *tokens > 0 && now < *until => {
-                *tokens -= 1;
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn add_ahead(&mut self, tokens: u32, now: Instant) {
-        self.empty = None;
-        if tokens > 0 {
-            self.ahead = Some((tokens, now + AHEAD_LIFETIME));
-        }
-    }
-}
