Let the VMs of a region ask the store's followers as a tree

Ruled out: the store (acknowledged after 0.24 s) and the first relay's own reading. Now a VM asks the one above it in a tree of ten for each, by rank for the region, and the second VM when its own is of no use. A confirmation of the configuration is passed on at once, so that it does not age on each step.

--- a/crates/filbertgrade-coord/src/steering/members.rs
+++ b/crates/filbertgrade-coord/src/steering/members.rs
@@ -18,8 +18,13 @@
 /// Most VMs that a look-up names.
 pub const MOST_NAMED: usize = 64;
 
-/// VMs of a region that follow the store, in case one loses it.
-const RELAYS: usize = 2;
+/// VMs that ask one VM in place of the store. A small VM has a link of some
+/// Mbit/s, on which it has to tell each of them a whole configuration in time.
+const RELAY_CHILDREN: usize = 10;
+
+/// Rank of the VM that others ask when theirs has lost the store. It asks the
+/// first one, or the store when that has lost it too.
+const SECOND_RELAY: usize = 1;
 
 /// A VM as the store lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -146,6 +151,9 @@
 
     /// Where the VMs take calls that this one asks in place of the store, in
     /// this order. The second one is for when the first has lost the store.
+    ///
+    /// The VMs of a region form a tree by their rank for the region, so that
+    /// each answers few others however many there are.
     pub fn relays(&self, now: Instant) -> Vec<SocketAddr> {
         let in_region = |member: &Member| member.region == self.me.region;
         let running: HashMap<&str, SocketAddr> = self
@@ -157,10 +165,20 @@
             .map(|member| (member.vm.as_str(), member.heartbeats))
             .collect();
         let key = format!("relay/{}", self.me.region);
-        let names = running.keys().copied().chain([self.me.vm.as_str()]);
-        rendezvous::top(&key, names, RELAYS)
-            .into_iter()
-            .map_while(|name| running.get(name).copied())
+        let me = self.me.vm.as_str();
+        let count = running.len() + 1;
+        let ranked = rendezvous::top(&key, running.keys().copied().chain([me]), count);
+        let rank = ranked.iter().position(|name| *name == me).unwrap_or(0);
+        let mut asked = Vec::new();
+        if rank > 0 {
+            asked.push((rank - 1) / RELAY_CHILDREN);
+        }
+        if rank > SECOND_RELAY && !asked.contains(&SECOND_RELAY) {
+            asked.push(SECOND_RELAY);
+        }
+        let names = asked.into_iter().filter_map(|rank| ranked.get(rank));
+        names
+            .filter_map(|name| running.get(name).copied())
             .collect()
     }
 
--- a/crates/filbertgrade-coord/tests/steering/fleet.rs
+++ b/crates/filbertgrade-coord/tests/steering/fleet.rs
@@ -127,6 +127,40 @@
     );
 }
 
+/// Guards against a VM that has to tell all others of a large region what has
+/// changed, and against VMs that are not reached.
+#[test]
+fn relays_of_a_large_region_share_its_questions() {
+    let start = Instant::now();
+    let all: Vec<Member> = (0..175)
+        .map(|n| member(&format!("vm-{n}"), "north", n + 1))
+        .collect();
+    let mut asked: HashMap<SocketAddr, usize> = HashMap::new();
+    let mut parents: HashMap<SocketAddr, SocketAddr> = HashMap::new();
+    for me in &all {
+        let mut members = Members::new(me.clone());
+        members.set_listed(all.clone(), start);
+        for peer in &all {
+            members.heard(&peer.vm, beat(peer, true), start);
+        }
+        if let Some(parent) = members.relay(start) {
+            *asked.entry(parent).or_default() += 1;
+            parents.insert(me.heartbeats, parent);
+        }
+    }
+    assert_eq!(parents.len(), 174, "one VM follows the store");
+    assert!(asked.values().all(|count| *count <= 10), "{asked:?}");
+    for me in &all {
+        let mut steps = 0;
+        let mut at = me.heartbeats;
+        while let Some(parent) = parents.get(&at) {
+            at = *parent;
+            steps += 1;
+        }
+        assert!(steps <= 3, "{steps} steps to the store");
+    }
+}
+
 /// Guards against VMs of another region that count as down while one of them
 /// speaks for all.
 #[test]
--- a/crates/filbertgrade/src/process/node/copy.rs
+++ b/crates/filbertgrade/src/process/node/copy.rs
@@ -34,7 +34,7 @@
     complete_after: u64,
     /// The store had nothing newer at this instant.
     confirmed_at: Option<Instant>,
-    /// Tells the nodes that wait for a change.
+    /// Tells the nodes that wait for a change or confirmation.
     changed: watch::Sender<u64>,
 }
 
@@ -102,7 +102,10 @@
 
     /// Takes what was read.
     pub(super) fn take(&mut self, update: &Update) {
-        self.confirmed_at = self.confirmed_at.max(update.confirmed_at);
+        if update.confirmed_at > self.confirmed_at {
+            self.confirmed_at = update.confirmed_at;
+            self.changed.send_replace(update.revision);
+        }
         if self.revision.is_some_and(|known| update.revision < known) {
             return;
         }
@@ -145,7 +148,7 @@
         self.confirmed_at
     }
 
-    /// Tells changes from now on.
+    /// Tells changes and confirmations from now on.
     pub(super) fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -1,7 +1,8 @@
-//! One node of each region follows the store; the others ask it.
+//! One node of each region follows the store; the others ask it, or a node
+//! that asks it.
 //!
 //! Calls to the store are counted and paid for, so they must not grow with the
-//! fleet. A node whose relay fails asks the store itself.
+//! fleet. A node whose relays fail asks the store itself.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -118,7 +119,13 @@
     let update = |node: &Node| node.copies.with(kind, |copy| copy.since(pull.revision));
     let deadline = began + Duration::from_millis(u64::from(pull.wait_ms));
     let mut reply = update(node)?;
+    let known_confirmation = reply.confirmed_at;
     while reply.events.is_empty() || !ahead(node) {
+        // A confirmation is passed on at once, so that it does not age by a
+        // wait on each node that it passes.
+        if kind == Kind::Configuration && reply.confirmed_at > known_confirmation {
+            break;
+        }
         let now = Instant::now();
         // Who asks must not wait for a relay that has lost the store.
         let useless_at = store_confirmed_at(node)? + MOST_AGE;
