Send the words for a region on a time of their own

Cause: each heartbeat with news of homes put off the next regular one, and with it the words that a relay sends to the other regions.

--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -37,10 +37,13 @@
 /// Sends heartbeats until the process ends, sooner when there are new homes.
 pub(super) async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut next = Instant::now();
+    // Apart from the other heartbeats, which news of homes bring forward.
+    let mut next_of_region = next;
     loop {
         let now = Instant::now();
-        if now >= next {
+        if now >= next_of_region {
             send_region(&node, &socket).await;
+            next_of_region = now + INTERVAL;
         }
         let newcomers = lock(&node.members).take_newcomers();
         if now >= next || lock(&node.balancer).homes().has_news() {
