Detect silent connections to relays and to the store, and confirm endpoints after a start

A node pulled each kind from its relay over a connection of its own. When one pull timed out, the others were cancelled but kept their silent connections, and the relay was excluded for 2 s although a new connection to it would have worked. A watch of the store noticed silence only at its own timeout, 3.3 s for endpoints, and then waited for the configuration to confirm the store.

Also, a node that had just started used the endpoints of a list that may be seconds old before any relay or the store had confirmed it, so an endpoint that had left was in use again after a restart.

Now all kinds share one connection to a relay, which is closed for all of them when a due reply is late and no byte arrives for 0.5 s; the relay is excluded only if a new connection fails too. The revision that the watch of the configuration shows reveals a watch that lags behind. Endpoints are used once their list is confirmed.

Ruled out: shorter waits of all watches (each is a call to the store, which is paid for); keep-alive probes of TCP (their unit is a second).

--- a/crates/filbertgrade-coord/src/steering/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/mod.rs
@@ -21,6 +21,8 @@
 //! - [`cold_start`] limits the request rate of an endpoint that has just started.
 //! - [`store_health`] records how current the copy of the store is, and outages
 //!   of the store.
+//! - [`following`] detects connections to the store and to relays that no longer
+//!   deliver changes.
 //! - [`settings`] holds the settings that a VM gets from the platform.
 //! - [`members`] tracks which VMs run, and to which of them callers connect.
 
@@ -29,6 +31,7 @@
 pub mod cold_start;
 pub mod deployment;
 pub mod endpoint;
+pub mod following;
 pub mod members;
 pub mod placement;
 pub mod quota;
--- a/crates/filbertgrade-coord/tests/steering/main.rs
+++ b/crates/filbertgrade-coord/tests/steering/main.rs
@@ -8,6 +8,7 @@
 
 mod balancer;
 mod fleet;
+mod following;
 mod limits;
 mod load;
 mod registry;
--- a/crates/filbertgrade-standins/src/node/store.rs
+++ b/crates/filbertgrade-standins/src/node/store.rs
@@ -44,8 +44,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Revision and spec of each object, by kind and name.
-    objects: BTreeMap<(String, String), (u64, Value)>,
+    objects: Objects,
     /// Changes: revision, kind, object and whether it was deleted.
     log: Vec<(u64, String, Value, bool)>,
     /// Revision of the last change.
@@ -54,8 +53,17 @@
     /// with status 410.
     discarded_revision: u64,
     full_cost_calls: u64,
+    /// Number of the last read, counted from 1.
+    last_read: u64,
+    /// Last read of each kind that never gets a response.
+    hung_reads: BTreeMap<String, u64>,
+    /// Objects and revision that reads accepting stale results return.
+    stale: Option<(Objects, u64)>,
 }
 
+/// Revision and spec of each object, by kind and name.
+type Objects = BTreeMap<(String, String), (u64, Value)>;
+
 impl Store {
     /// Starts an empty store on a free port.
     ///
@@ -134,6 +142,21 @@
         state.log.clear();
     }
 
+    /// Never responds to the reads of a kind that are waiting now, as if their connections had gone
+    /// silent. Later reads are not affected.
+    pub fn hang_open_reads(&self, kind: &str) {
+        let mut state = lock(&self.state);
+        let last = state.last_read;
+        state.hung_reads.insert(kind.to_owned(), last);
+    }
+
+    /// From now on, returns the current objects to reads that accept stale results, whatever changes
+    /// later.
+    pub fn freeze_stale_reads(&self) {
+        let mut state = lock(&self.state);
+        state.stale = Some((state.objects.clone(), state.revision));
+    }
+
     /// Returns the names of all objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = lock(&self.state);
@@ -141,6 +164,13 @@
         of_kind.map(|(_, name)| name.clone()).collect()
     }
 
+    /// Returns the content of an object, or `None` if it does not exist.
+    pub fn spec_of(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = lock(&self.state);
+        state.objects.get(&key).map(|(_, spec)| spec.clone())
+    }
+
     /// Returns the revision of an object, or `None` if it does not exist.
     fn revision_of(&self, kind: &str, name: &str) -> Option<u64> {
         let key = (kind.to_owned(), name.to_owned());
@@ -151,8 +181,11 @@
     /// Handles a call, subject to the current fault.
     async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         // Reads that accept stale results cost a tenth and are not counted.
-        let accepts_stale = |query: &str| query.split('&').any(|part| part == "stale-ok=1");
-        if !req.uri().query().is_some_and(accepts_stale) {
+        let accepts_stale = req
+            .uri()
+            .query()
+            .is_some_and(|query| query.split('&').any(|part| part == "stale-ok=1"));
+        if !accepts_stale {
             lock(&self.state).full_cost_calls += 1;
         }
         let mut fault = self.fault.subscribe();
@@ -186,7 +219,21 @@
         if parts.method == Method::GET {
             let watch = query("watch").and_then(|revision| revision.parse().ok());
             let wait = query("wait-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
-            let response = self.read(&kind, watch, Duration::from_millis(wait));
+            let response = async {
+                let number = {
+                    let mut state = lock(&self.state);
+                    state.last_read += 1;
+                    state.last_read
+                };
+                let response = self
+                    .read(&kind, watch, Duration::from_millis(wait), accepts_stale)
+                    .await;
+                let hung = lock(&self.state).hung_reads.get(&kind).copied();
+                if hung.is_some_and(|last| number <= last) {
+                    std::future::pending::<()>().await;
+                }
+                response
+            };
             // A fault that starts while a watch waits affects it like a new call.
             let interrupted = async {
                 let fault = fault.wait_for(|fault| *fault != StoreFault::None).await;
@@ -205,15 +252,25 @@
     }
 
     /// Returns the objects of a kind, or with `watch` the changes after that revision. A watch
-    /// waits up to `wait` for the first change.
-    async fn read(&self, kind: &str, watch: Option<u64>, wait: Duration) -> Response<Full<Bytes>> {
+    /// waits up to `wait` for the first change. A list that accepts stale results may be frozen.
+    async fn read(
+        &self,
+        kind: &str,
+        watch: Option<u64>,
+        wait: Duration,
+        accepts_stale: bool,
+    ) -> Response<Full<Bytes>> {
         let Some(after) = watch else {
             let state = lock(&self.state);
-            let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+            let (objects, revision) = match &state.stale {
+                Some((objects, revision)) if accepts_stale => (objects, *revision),
+                _ => (&state.objects, state.revision),
+            };
+            let of_kind = objects.iter().filter(|((k, _), _)| k == kind);
             let items: Vec<Value> = of_kind
                 .map(|((_, name), (revision, spec))| object(name, *revision, spec))
                 .collect();
-            let list = json!({"items": items, "more": false, "as-of": state.revision});
+            let list = json!({"items": items, "more": false, "as-of": revision});
             return reply(StatusCode::OK, &list);
         };
         let mut changed = self.changed.subscribe();
--- a/crates/filbertgrade/src/connection/counting.rs
+++ b/crates/filbertgrade/src/connection/counting.rs
@@ -1,5 +1,6 @@
-//! An I/O stream that counts the bytes it has sent, which shows whether any
-//! byte of a request was sent.
+//! An I/O stream that counts its bytes in both directions. The bytes sent show
+//! whether any part of a request left, those received whether the peer is
+//! silent.
 
 use std::io;
 use std::pin::Pin;
@@ -9,13 +10,15 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Number of bytes of a connection that the operating system has accepted.
+/// Numbers of bytes that a connection has sent and received.
 #[derive(Clone, Debug, Default)]
 pub struct ByteCount {
+    /// Bytes that the operating system has accepted for sending.
     sent: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
 }
 
-/// Wraps an I/O stream and counts the bytes written to it.
+/// Wraps an I/O stream and counts the bytes written to it and read from it.
 #[derive(Debug)]
 pub struct CountingIo<T> {
     io: T,
@@ -29,9 +32,19 @@
         self.sent.load(Ordering::Acquire)
     }
 
-    fn add(&self, bytes: usize) {
+    /// Bytes received since the connection was opened.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Acquire)
+    }
+
+    fn add_sent(&self, bytes: usize) {
         self.sent.fetch_add(bytes as u64, Ordering::AcqRel);
     }
+
+    fn add_received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::AcqRel);
+    }
 }
 
 impl<T> CountingIo<T> {
@@ -57,7 +70,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        self.count.add_received(buf.filled().len() - filled);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -68,7 +84,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let bytes = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
-        self.count.add(bytes);
+        self.count.add_sent(bytes);
         Poll::Ready(Ok(bytes))
     }
 
@@ -86,7 +102,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let bytes = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
-        self.count.add(bytes);
+        self.count.add_sent(bytes);
         Poll::Ready(Ok(bytes))
     }
 
--- a/crates/filbertgrade/src/connection/link.rs
+++ b/crates/filbertgrade/src/connection/link.rs
@@ -10,8 +10,10 @@
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
 use tokio_util::codec::Framed;
 
+use super::counting::{ByteCount, CountingIo};
 use super::frame::{FrameCodec, FrameError};
 use crate::logfmt;
 use crate::sync::lock;
@@ -21,6 +23,9 @@
 /// up, senders wait.
 const SEND_QUEUE_FRAMES: usize = 256;
 
+/// Longest time for which a reply that is due may keep arriving in parts.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
+
 /// Why a call to a peer received no reply.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
@@ -73,6 +78,9 @@
 struct OpenLink {
     tx: mpsc::Sender<Frame>,
     pending: Arc<Mutex<PendingCalls>>,
+    count: ByteCount,
+    /// Ends the task that sends and receives the frames.
+    task: AbortHandle,
 }
 
 /// Calls that wait for their reply, by number. `None` once the connection has
@@ -114,6 +122,68 @@
         }
     }
 
+    /// Sends `body` and waits for its reply, which the peer may hold back for
+    /// `hold`. After that, the call waits as long as any bytes arrive on the
+    /// connection, which may be slow, and fails when none arrive for `silence`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`PeerLink::call`]. When the peer is silent, the connection is
+    /// closed and all other calls on it fail at once, since their replies will
+    /// not arrive either.
+    pub async fn call_until_silent(
+        &self,
+        body: Body,
+        hold: Duration,
+        silence: Duration,
+    ) -> Result<Body, LinkError> {
+        let address = self.shared.address;
+        let timed_out = |timeout| LinkError::TimedOut { address, timeout };
+        match tokio::time::timeout(silence, self.open_link()).await {
+            Ok(opened) => opened?,
+            Err(_elapsed) => return Err(timed_out(silence)),
+        };
+        let mut call = Box::pin(self.call_unbounded(body));
+        let deadline = tokio::time::Instant::now() + hold + MAX_TRANSFER_TIME;
+        // Bytes received when the reply became due, or when they were last
+        // checked.
+        let mut received = None;
+        let mut limit = hold;
+        loop {
+            if let Ok(reply) = tokio::time::timeout(limit, &mut call).await {
+                return reply;
+            }
+            let now_received = self.received_bytes();
+            let is_silent = received.is_some_and(|before| now_received <= before);
+            if is_silent || tokio::time::Instant::now() >= deadline {
+                drop(call);
+                self.close();
+                return Err(timed_out(hold + silence));
+            }
+            received = Some(now_received);
+            limit = silence;
+        }
+    }
+
+    /// Closes the open connection, if there is one. All calls on it fail.
+    fn close(&self) {
+        // The lock is taken only while a new connection is being opened.
+        if let Ok(mut open) = self.shared.open.try_lock()
+            && let Some(link) = open.take()
+        {
+            *lock(&link.pending) = None;
+            link.task.abort();
+        }
+    }
+
+    /// Bytes received on the open connection; 0 if there is none.
+    fn received_bytes(&self) -> u64 {
+        let open = self.shared.open.try_lock();
+        open.ok()
+            .and_then(|open| open.as_ref().map(|link| link.count.received()))
+            .unwrap_or(0)
+    }
+
     /// Sends `body` without waiting for a reply.
     ///
     /// # Errors
@@ -266,11 +336,13 @@
 /// Starts the task that sends the frames of a link and dispatches the replies,
 /// until the connection ends.
 fn spawn_link(stream: TcpStream) -> OpenLink {
+    let stream = CountingIo::new(stream);
+    let count = stream.count();
     let (mut sink, mut frames) = Framed::new(stream, FrameCodec).split();
     let (tx, mut rx) = mpsc::channel::<Frame>(SEND_QUEUE_FRAMES);
     let pending = Arc::new(Mutex::new(Some(HashMap::new())));
     let replies = Arc::clone(&pending);
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         loop {
             tokio::select! {
                 out = rx.recv() => match out {
@@ -286,7 +358,12 @@
         // Dropping the senders ends every call that still waits.
         *lock(&replies) = None;
     });
-    OpenLink { tx, pending }
+    OpenLink {
+        tx,
+        pending,
+        count,
+        task: task.abort_handle(),
+    }
 }
 
 /// Passes a reply to the call that waits for it. Replies to calls that timed
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -45,7 +45,7 @@
 use self::copy::StoreCopy;
 use self::suspension::SuspensionDetector;
 use self::tokens::PendingTokenRequests;
-use crate::connection::{Pool, PoolLimits};
+use crate::connection::{PeerLink, Pool, PoolLimits};
 use crate::logfmt;
 use crate::process::operator;
 use crate::process::signals::{StopSignals, reload_signal};
@@ -74,8 +74,8 @@
 
 /// Time after the start until which requests wait for the first read of the
 /// store. The read takes some milliseconds, and longer when all nodes start at
-/// once.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// once or the list of endpoints has to be read again, as no relay confirms it.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Interval of the checks for expired connections, lapsed registrations, and
 /// VMs that no longer send heartbeats.
@@ -127,8 +127,8 @@
     /// never decreases.
     pub(crate) deployment: ArcSwapOption<Deployment>,
     pub(crate) registry: Mutex<Registry>,
-    /// The endpoints have been read at least once.
-    pub(crate) has_read_endpoints: AtomicBool,
+    /// The list of endpoints has been confirmed as current at least once.
+    pub(crate) has_current_endpoints: AtomicBool,
     pub(crate) balancer: Mutex<Balancer>,
     pub(crate) quotas: Mutex<Quotas>,
     /// Token requests to other VMs.
@@ -150,9 +150,16 @@
     store_read: watch::Sender<()>,
     /// Notified when the store responds again after an outage.
     store_restored: watch::Sender<()>,
+    /// Newest revision of the store that a watch of the configuration has
+    /// returned; 0 before the first.
+    store_revision: watch::Sender<u64>,
     /// Relays from which a pull has failed recently, with the time of the
     /// failure.
     failed_relays: watch::Sender<IndexMap<SocketAddr, Instant>>,
+    /// Links to the relays in use. The pulls of all kinds share one connection
+    /// to a relay, so that the kind that is pulled most often detects for all
+    /// of them that the connection is silent.
+    relay_links: Mutex<IndexMap<SocketAddr, PeerLink>>,
     /// Number of the next heartbeat.
     next_heartbeat: AtomicU64,
     pub(crate) started: Instant,
@@ -173,7 +180,7 @@
             incarnation,
             deployment: ArcSwapOption::empty(),
             registry: Mutex::default(),
-            has_read_endpoints: AtomicBool::new(false),
+            has_current_endpoints: AtomicBool::new(false),
             balancer: Mutex::new(Balancer::new(balancer_config(&settings))),
             quotas: Mutex::new(new_quotas(&settings)),
             token_requests: PendingTokenRequests::new(peers),
@@ -188,7 +195,9 @@
             leaving: watch::Sender::new(false),
             store_read: watch::Sender::new(()),
             store_restored: watch::Sender::new(()),
+            store_revision: watch::Sender::new(0),
             failed_relays: watch::Sender::default(),
+            relay_links: Mutex::default(),
             next_heartbeat: AtomicU64::new(0),
             started: Instant::now(),
             is_listed: AtomicBool::new(false),
@@ -219,7 +228,7 @@
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         !self.is_leaving()
             && self.deployment.load().is_some()
-            && self.has_read_endpoints.load(Ordering::Acquire)
+            && self.has_current_endpoints.load(Ordering::Acquire)
             && self.has_current_configuration(now)
     }
 
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertgrade_coord::steering::following::AfterPullFailure;
 use filbertgrade_coord::steering::store_health::Outage;
 use filbertgrade_platform::objects::Kind;
 use filbertgrade_platform::store::{Event, Object};
@@ -74,6 +75,14 @@
     Unavailable,
 }
 
+impl RelayError {
+    /// Whether only the connection failed, so that the relay may still reply on
+    /// a new one.
+    pub(super) fn is_connection_failure(&self) -> bool {
+        matches!(self, Self::Link(_))
+    }
+}
+
 /// Number of a kind in [`StorePull::kind`].
 fn kind_number(kind: Kind) -> u32 {
     match kind {
@@ -181,14 +190,14 @@
 /// `revision` is `None`.
 ///
 /// The relay may hold the pull for up to `wait` until there is a change; the
-/// call fails when the reply has not arrived `timeout` after that.
+/// call fails when the connection is silent for `silence` after that.
 pub(super) async fn pull(
     node: &Node,
     link: &PeerLink,
     kind: Kind,
     revision: Option<u64>,
     wait: Duration,
-    timeout: Duration,
+    silence: Duration,
 ) -> Result<Update, RelayError> {
     let sent_at = Instant::now();
     let pull = StorePull {
@@ -196,7 +205,8 @@
         revision,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     };
-    let reply = link.call(Body::StorePull(pull), wait + timeout).await?;
+    let body = Body::StorePull(pull);
+    let reply = link.call_until_silent(body, wait, silence).await?;
     let wire = match reply {
         Body::StoreUpdate(wire) if !wire.unavailable => wire,
         _ => return Err(RelayError::Unavailable),
@@ -226,10 +236,14 @@
     })
 }
 
-/// Logs that a pull from a relay failed.
-pub(super) fn log_failure(kind: Kind, error: &RelayError) {
+/// Logs that a pull from a relay failed, and what follows.
+pub(super) fn log_failure(kind: Kind, error: &RelayError, step: AfterPullFailure) {
+    let next = match step {
+        AfterPullFailure::Reconnect => "reconnect",
+        AfterPullFailure::Exclude => "exclude",
+    };
     log::info!(
-        "event=relay_failed kind={} error={}",
+        "event=relay_failed kind={} next={next} error={}",
         kind.as_str(),
         logfmt::value(error)
     );
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -11,6 +11,7 @@
 use filbertgrade_coord::rendezvous;
 use filbertgrade_coord::steering::deployment::Deployment;
 use filbertgrade_coord::steering::endpoint::Endpoint;
+use filbertgrade_coord::steering::following::{AfterPullFailure, PullFailures, StallDetector};
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::Limit;
 use filbertgrade_coord::steering::registry::{Registry, RegistryChange};
@@ -31,6 +32,9 @@
 /// slower.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long the connection to a relay may be silent while a reply is due.
+const RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Upper limit of the delay before the call that follows a failed one. The
 /// actual delay is drawn at random from the upper half of this range.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -69,6 +73,10 @@
 /// counts each response as a call.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(150);
 
+/// Time after the start of a node in which no watch counts as stalled. VMs that
+/// start together write their entries then, and each advances the revision.
+const STALL_DETECTION_DELAY: Duration = Duration::from_secs(5);
+
 /// Time without a heartbeat after which the entry of a VM is removed from the
 /// store.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -81,6 +89,11 @@
     /// connection still works.
     const MAX_WATCH_WAIT: Duration;
 
+    /// How long a watch of the store may lag behind the revision that the watch
+    /// of the configuration has shown; see [`StallDetector`]. `None` for the
+    /// configuration itself.
+    const MAX_WATCH_LAG: Option<Duration>;
+
     /// Replaces the state with all objects as of `revision`.
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64);
 
@@ -111,7 +124,7 @@
     let mut known_revision = None;
     loop {
         match source
-            .read_next(&node, known_revision, F::MAX_WATCH_WAIT)
+            .read_next(&node, known_revision, F::MAX_WATCH_WAIT, F::MAX_WATCH_LAG)
             .await
         {
             ReadOutcome::Update(update) => {
@@ -160,8 +173,9 @@
 struct Source {
     kind: Kind,
     client: StoreClient,
-    /// Link to the relay that was used last.
-    link: Option<(SocketAddr, PeerLink)>,
+    pull_failures: PullFailures,
+    /// The last watch stalled, so the next one must not wait.
+    watch_stalled: bool,
     /// Notified when the store responds again after an outage.
     store_restored: watch::Receiver<()>,
     /// When pulls from relays last failed, for any kind.
@@ -187,7 +201,8 @@
         Self {
             kind,
             client: client(node),
-            link: None,
+            pull_failures: PullFailures::default(),
+            watch_stalled: false,
             store_restored: node.store_restored.subscribe(),
             failed_relays: node.failed_relays.subscribe(),
             retry_delay: INITIAL_RETRY_DELAY,
@@ -199,6 +214,7 @@
         node: &Node,
         revision: Option<u64>,
         wait: Duration,
+        max_lag: Option<Duration>,
     ) -> ReadOutcome {
         let now = Instant::now();
         match self.usable_relay(node, now) {
@@ -207,7 +223,7 @@
                 self.discover_relay(node, revision, wait).await
             }
             None if self.must_wait_for_store(node) => self.wait_for_store().await,
-            None => self.call_store(node, revision, wait).await,
+            None => self.call_store(node, revision, wait, max_lag).await,
         }
     }
 
@@ -220,6 +236,7 @@
             at.is_some_and(|at| now < *at + RELAY_EXCLUSION_TIME)
         };
         let relays = lock(&node.members).relays(now);
+        lock(&node.relay_links).retain(|address, _| relays.contains(address));
         relays.into_iter().find(|relay| !failed_recently(relay))
     }
 
@@ -236,7 +253,9 @@
         wait: Duration,
     ) -> ReadOutcome {
         match (self.kind, revision) {
-            (Kind::Configuration, None) => return self.call_store(node, revision, wait).await,
+            (Kind::Configuration, None) => {
+                return self.call_store(node, revision, wait, None).await;
+            }
             (_, None) => {}
             (Kind::Vms, Some(_)) => tokio::time::sleep(DISCOVERY_LIST_INTERVAL).await,
             (_, Some(_)) => {
@@ -277,15 +296,14 @@
         revision: Option<u64>,
         wait: Duration,
     ) -> ReadOutcome {
-        let link = match &self.link {
-            Some((linked, link)) if *linked == address => link,
-            _ => {
-                let local = node.settings.load().address;
-                let link = PeerLink::new(address, Some(local));
-                &self.link.insert((address, link)).1
-            }
-        };
-        let pull = relay::pull(node, link, self.kind, revision, wait, CALL_TIMEOUT);
+        // A copy that the store has not confirmed may be seconds old, so the
+        // first pull returns at once.
+        let is_confirmed = node
+            .store_copy
+            .with(self.kind, |copy| copy.confirmed_at().is_some());
+        let wait = if is_confirmed { wait } else { Duration::ZERO };
+        let link = relay_link(node, address);
+        let pull = relay::pull(node, &link, self.kind, revision, wait, RELAY_SILENCE_LIMIT);
         let result = tokio::select! {
             result = pull => result,
             // A pull for another kind found that the relay failed.
@@ -294,30 +312,49 @@
         match result {
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
+                self.pull_failures.record_success();
                 ReadOutcome::Update(update)
             }
             Err(error) => {
-                let now = Instant::now();
-                if now.saturating_duration_since(node.started) < RELAY_STARTUP_GRACE {
-                    tokio::time::sleep(RELAY_STARTUP_RETRY_DELAY).await;
-                    return ReadOutcome::Retry;
-                }
-                relay::log_failure(self.kind, &error);
-                tokio::time::sleep(RELAY_FAILOVER_DELAY).await;
-                node.failed_relays.send_modify(|failed| {
-                    failed.retain(|_, at| now < *at + RELAY_EXCLUSION_TIME);
-                    failed.insert(address, now);
-                });
+                self.handle_pull_failure(node, address, &error).await;
                 ReadOutcome::Retry
             }
         }
     }
 
+    /// Waits before the pull that follows a failed one, and excludes the relay
+    /// if it has failed rather than only its connection.
+    async fn handle_pull_failure(
+        &mut self,
+        node: &Node,
+        address: SocketAddr,
+        error: &relay::RelayError,
+    ) {
+        let now = Instant::now();
+        if now.saturating_duration_since(node.started) < RELAY_STARTUP_GRACE {
+            tokio::time::sleep(RELAY_STARTUP_RETRY_DELAY).await;
+            return;
+        }
+        let step = self
+            .pull_failures
+            .record_failure(error.is_connection_failure());
+        relay::log_failure(self.kind, error, step);
+        if step == AfterPullFailure::Reconnect {
+            return;
+        }
+        tokio::time::sleep(RELAY_FAILOVER_DELAY).await;
+        node.failed_relays.send_modify(|failed| {
+            failed.retain(|_, at| now < *at + RELAY_EXCLUSION_TIME);
+            failed.insert(address, now);
+        });
+    }
+
     async fn call_store(
         &mut self,
         node: &Node,
         revision: Option<u64>,
         wait: Duration,
+        max_lag: Option<Duration>,
     ) -> ReadOutcome {
         let started_at = Instant::now();
         self.store_restored.mark_unchanged();
@@ -328,19 +365,31 @@
         // that returns at once.
         let (revision, wait) = match age {
             None => (None, wait),
-            Some(age) if age > wait => (revision, Duration::ZERO),
+            Some(age) if age > wait || self.watch_stalled => (revision, Duration::ZERO),
             Some(_) => (revision, wait),
         };
+        self.watch_stalled = false;
+        let uptime = started_at.saturating_duration_since(node.started);
+        let max_lag = max_lag.filter(|_| uptime >= STALL_DETECTION_DELAY);
         let call = read_store(&mut self.client, self.kind, revision, wait, started_at);
         let result = tokio::select! {
             result = call => result,
             // The call may be stuck on a connection that broke in the outage.
             _ = self.store_restored.changed() => return ReadOutcome::Retry,
+            newest = watch_stalls(node, revision, max_lag) => {
+                let kind = self.kind.as_str();
+                log::info!("event=watch_stalled kind={kind} store_revision={newest}");
+                self.watch_stalled = true;
+                return ReadOutcome::Retry;
+            }
         };
         match result {
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 record_success(node, self.kind);
+                if self.kind == Kind::Configuration {
+                    record_store_revision(node, update.revision);
+                }
                 // The configuration is not delayed: its age decides whether
                 // the store counts as lost.
                 let batches_changes = self.kind != Kind::Configuration;
@@ -368,6 +417,43 @@
     }
 }
 
+/// The link to a relay, which the pulls of all kinds share.
+fn relay_link(node: &Node, address: SocketAddr) -> PeerLink {
+    let local = node.settings.load().address;
+    lock(&node.relay_links)
+        .entry(address)
+        .or_insert_with(|| PeerLink::new(address, Some(local)))
+        .clone()
+}
+
+fn record_store_revision(node: &Node, revision: u64) {
+    node.store_revision.send_if_modified(|newest| {
+        let advanced = revision > *newest;
+        *newest = revision.max(*newest);
+        advanced
+    });
+}
+
+/// Resolves once a watch for changes after `revision` counts as stalled, to the
+/// revision of the store at that time. Never resolves for a list, nor without
+/// `max_lag`.
+async fn watch_stalls(node: &Node, revision: Option<u64>, max_lag: Option<Duration>) -> u64 {
+    let (Some(watched), Some(max_lag)) = (revision, max_lag) else {
+        return std::future::pending().await;
+    };
+    let mut detector = StallDetector::new(watched, max_lag);
+    let mut newest = node.store_revision.subscribe();
+    loop {
+        let known = *newest.borrow_and_update();
+        if let Some(at) = detector.record_newest(known, Instant::now()) {
+            tokio::time::sleep_until(at.into()).await;
+            return *newest.borrow();
+        }
+        // The sender is part of the node, so that the channel does not close.
+        let _ = newest.changed().await;
+    }
+}
+
 /// True while the node has just started and may still find a relay.
 fn is_discovering_relay(node: &Node, now: Instant) -> bool {
     now.saturating_duration_since(node.started) < RELAY_DISCOVERY_TIME
@@ -477,6 +563,7 @@
     // Withdrawn keys must stop working within seconds, even when the store
     // stops responding on an open connection.
     const MAX_WATCH_WAIT: Duration = Duration::from_millis(600);
+    const MAX_WATCH_LAG: Option<Duration> = None;
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         for object in objects {
@@ -543,6 +630,8 @@
 impl Follower for Endpoints {
     const KIND: Kind = Kind::Endpoints;
     const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_500);
+    // Endpoints drain within seconds of their change.
+    const MAX_WATCH_LAG: Option<Duration> = Some(Duration::from_millis(400));
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         let list: Vec<(Arc<str>, Option<Endpoint>)> =
@@ -563,9 +652,7 @@
         for id in removed {
             log_change(&RegistryChange::Removed(id));
         }
-        node.has_read_endpoints.store(true, Ordering::Release);
         update_balancer_endpoints(node, now);
-        node.store_read.send_replace(());
     }
 
     fn apply(&mut self, node: &Node, events: Vec<Event>, revision: u64) {
@@ -587,6 +674,13 @@
         lock(&node.registry).apply(changes, revision, now, outage_ended_at);
         update_balancer_endpoints(node, now);
     }
+
+    fn confirm(&mut self, node: &Node, _at: Instant) {
+        if !node.has_current_endpoints.swap(true, Ordering::AcqRel) {
+            update_balancer_endpoints(node, Instant::now());
+            node.store_read.send_replace(());
+        }
+    }
 }
 
 fn registered_ids(registry: &Registry) -> HashSet<Arc<str>> {
@@ -648,7 +742,14 @@
 
 /// Passes the endpoints of the registry to the balancer, including those whose
 /// registration may still come back after an outage.
+///
+/// A process that has just started reads a list that may be seconds old. An
+/// endpoint on it may have left since, so none is used before a relay or the
+/// store has confirmed the list.
 pub(super) fn update_balancer_endpoints(node: &Node, now: Instant) {
+    if !node.has_current_endpoints.load(Ordering::Acquire) {
+        return;
+    }
     let registry = lock(&node.registry);
     lock(&node.balancer).set_endpoints(registry.endpoints(), now);
 }
@@ -671,6 +772,7 @@
 impl Follower for Evacuations {
     const KIND: Kind = Kind::Evacuations;
     const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_500);
+    const MAX_WATCH_LAG: Option<Duration> = Some(Duration::from_millis(1_500));
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, revision: u64) {
         self.names = objects
@@ -746,6 +848,7 @@
 impl Follower for Vms {
     const KIND: Kind = Kind::Vms;
     const MAX_WATCH_WAIT: Duration = Duration::from_secs(8);
+    const MAX_WATCH_LAG: Option<Duration> = Some(Duration::from_secs(3));
 
     fn replace(&mut self, node: &Node, objects: Vec<Object>, _revision: u64) {
         self.members.clear();
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -68,6 +68,20 @@
     /// Starts one endpoint for each service time in milliseconds, and `nodes`
     /// nodes; returns when all nodes are ready.
     pub(crate) async fn with_nodes(service_ms: &[u64], nodes: usize) -> Self {
+        let mut cluster = Self::without_nodes(service_ms).await;
+        for n in 0..nodes {
+            cluster
+                .nodes
+                .push(Node::start(&format!("vm-{n}"), cluster.store.address).await);
+        }
+        for node in &cluster.nodes {
+            node.wait_ready().await;
+        }
+        cluster
+    }
+
+    /// Starts one endpoint for each service time in milliseconds, and no node.
+    pub(crate) async fn without_nodes(service_ms: &[u64]) -> Self {
         let store = Store::start().await.unwrap();
         let mut endpoints = Vec::new();
         for (n, ms) in service_ms.iter().enumerate() {
@@ -88,14 +102,6 @@
             cluster.register(endpoint, "ready");
         }
         cluster.configure(|_| {});
-        for n in 0..nodes {
-            cluster
-                .nodes
-                .push(Node::start(&format!("vm-{n}"), cluster.store.address).await);
-        }
-        for node in &cluster.nodes {
-            node.wait_ready().await;
-        }
         cluster
     }
 
@@ -214,7 +220,7 @@
             .is_ok_and(|response| response.status == 200)
     }
 
-    async fn wait_ready(&self) {
+    pub(crate) async fn wait_ready(&self) {
         let started_at = Instant::now();
         while !self.is_ready().await {
             assert!(
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -11,4 +11,6 @@
 mod explain;
 mod fleet;
 mod requests;
+mod restart;
+mod silence;
 mod stop;
