Bound what is read from an endpoint, and check permissions again before sending

A body without a known end never met the deadline, because its next part was always there.

Refuted: build_request could only return None for a request without a path, which no route matches; it no longer has that case.

--- a/crates/filbertgrade-blocks/src/fetch.rs
+++ b/crates/filbertgrade-blocks/src/fetch.rs
@@ -223,9 +223,10 @@
     }
 
     /// Fetches the chunk at `index` of the manifest before the others, for example because a
-    /// lookup needs it.
+    /// lookup needs it. Ignored if the manifest has no such chunk.
     pub fn prioritize(&mut self, index: usize) {
-        if !self.chunks[index].done && !self.prioritized.contains(&index) {
+        let is_missing = self.chunks.get(index).is_some_and(|chunk| !chunk.done);
+        if is_missing && !self.prioritized.contains(&index) {
             self.prioritized.push(index);
         }
     }
--- a/crates/filbertgrade-blocks/tests/copy.rs
+++ b/crates/filbertgrade-blocks/tests/copy.rs
@@ -401,6 +401,16 @@
     );
 }
 
+// Guards against a panic on a chunk that the manifest does not have.
+#[test]
+fn unknown_chunk_is_not_prioritized() {
+    let encoded = table().encode();
+    let mut plan = FetchPlan::new(&encoded.manifest, FetchConfig::default());
+    let bytes = plan.remaining_bytes();
+    plan.prioritize(usize::MAX);
+    assert_eq!(plan.remaining_bytes(), bytes);
+}
+
 // Guards against a prioritized chunk that is fetched after the others, and against a response that
 // is stored after its request timed out.
 #[test]
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -112,11 +112,6 @@
             return;
         }
         self.vms = vms;
-        for service in self.services.values_mut() {
-            for state in service.endpoints.values_mut() {
-                state.cold_limit = None;
-            }
-        }
         self.update_cold_limits(now);
     }
 
@@ -264,6 +259,19 @@
         }
     }
 
+    /// Reports whether a request may still be sent to the endpoint that was
+    /// picked for it. While it waited for a connection, the endpoint may have
+    /// started to drain, left, moved, or been evacuated.
+    pub fn may_still_send(&self, target: &Target) -> bool {
+        let service = self.services.get(&target.service);
+        let state = service.and_then(|service| service.endpoints.get(&target.key));
+        state.is_some_and(|state| {
+            !state.endpoint.draining
+                && state.endpoint.address == target.address
+                && !self.evacuated.contains(&state.endpoint.failure_domain)
+        })
+    }
+
     /// Records the outcome of a picked request and the endpoint's load report.
     /// Returns the backoff if the endpoint is ejected because of it.
     pub fn finish(
@@ -418,12 +426,13 @@
                     state.cold_limit = None;
                     continue;
                 }
-                match cold_start_senders(&key.id, &self.cfg.vm, &self.vms) {
-                    Some(senders) if state.cold_limit.is_none() => {
-                        state.cold_limit = Some(ColdStartLimit::new(rate, senders, now));
+                let senders = cold_start_senders(&key.id, &self.cfg.vm, &self.vms);
+                match (senders, &mut state.cold_limit) {
+                    (Some(senders), Some(limit)) => limit.set_senders(rate, senders, now),
+                    (Some(senders), limit) => {
+                        *limit = Some(ColdStartLimit::new(rate, senders, now));
                     }
-                    Some(_) => {}
-                    None => state.cold_limit = None,
+                    (None, limit) => *limit = None,
                 }
             }
         }
--- a/crates/filbertgrade-coord/src/steering/cold_start.rs
+++ b/crates/filbertgrade-coord/src/steering/cold_start.rs
@@ -29,13 +29,17 @@
     /// Creates the limit of one of `senders` VMs for an endpoint that accepts
     /// `rate` requests a second from all VMs together. It starts with one token.
     pub fn new(rate: f64, senders: usize, now: Instant) -> Self {
-        let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
-        let share = RateShare::new(rate / senders.max(1) as f64, 1.0).unwrap_or(RateShare::ZERO);
-        let mut bucket = TokenBucket::new(share, now);
+        let mut bucket = TokenBucket::new(sender_share(rate, senders), now);
         bucket.add_share(RateShare::ZERO, 1.0, now);
         Self { bucket }
     }
 
+    /// Changes the rate and the number of VMs that may send. The tokens remain,
+    /// so that a change of the running VMs permits no further request.
+    pub fn set_senders(&mut self, rate: f64, senders: usize, now: Instant) {
+        self.bucket.set_share(sender_share(rate, senders), now);
+    }
+
     /// Takes a token for one request, and returns false if there is none.
     pub fn try_take(&mut self, now: Instant) -> bool {
         self.bucket.try_take(now)
@@ -48,6 +52,12 @@
     }
 }
 
+/// The share of each of `senders` VMs in `rate` requests a second.
+fn sender_share(rate: f64, senders: usize) -> RateShare {
+    let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
+    RateShare::new(rate / senders.max(1) as f64, 1.0).unwrap_or(RateShare::ZERO)
+}
+
 /// Returns the number of VMs that may send to the cold endpoint `id`, or `None`
 /// if `vm` is not one of them.
 pub fn cold_start_senders(id: &str, vm: &VmName, vms: &[VmName]) -> Option<usize> {
--- a/crates/filbertgrade-coord/tests/steering/balancer.rs
+++ b/crates/filbertgrade-coord/tests/steering/balancer.rs
@@ -293,6 +293,36 @@
     assert!(sent.len() >= 6, "only {} requests in 3 s", sent.len());
 }
 
+/// Guards against a further token for each sender whenever the list of running
+/// VMs changes, as in a rolling restart while endpoints are cold.
+#[test]
+fn changes_of_the_running_vms_permit_no_further_request_to_a_cold_endpoint() {
+    let start = Instant::now();
+    let mut cold = endpoint("new", "north", 3);
+    cold.cold_for = Duration::from_secs(3);
+    let all: Vec<_> = (0..3).map(|n| vm(&format!("vm-{n}"))).collect();
+    let mut sent = 0;
+    for local in &all {
+        let mut balancer = balancer(local.as_str(), "north", &REGIONS);
+        balancer.set_vms(all.clone(), start);
+        let mut balancer = with_endpoints(balancer, &[cold.clone()], start);
+        for step in 0..100_usize {
+            let now = start + Duration::from_millis(10 * step as u64);
+            // One VM leaves and returns all the time; this one stays.
+            let mut running = all.clone();
+            running.retain(|name| name == local || *name != all[step % 3]);
+            balancer.set_vms(running, now);
+            if let Pick::Send(target) = balancer.pick(&pick_request(&service(), step as u64), now) {
+                balancer.finish(&target, step as u64, responded(100), None, now);
+                sent += 1;
+            }
+        }
+    }
+    // The configured rate is 4 requests a second. Users accept up to one and a
+    // half times that plus 5 in any second.
+    assert!(sent <= 11, "{sent} requests in a second");
+}
+
 /// Guards against sending most requests to another region as soon as the
 /// preferred endpoint has a short queue: the spill limit allows only a fraction
 /// of them to leave at once.
--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -9,14 +9,19 @@
 
 use crate::common::lock;
 
-/// How an endpoint handles its requests. Each request runs, except with [`Self::Refuses`] and
-/// [`Self::IsAnother`]. The plan of a soak prints the names of the variants.
+/// Length of the body of a long refusal, which is more than a node buffers.
+const LONG_REFUSAL_BYTES: usize = 600_000;
+
+/// How an endpoint handles its requests. Each request runs, except with [`Self::Refuses`],
+/// [`Self::RefusesAtLength`] and [`Self::IsAnother`]. The plan of a soak prints the names of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointBehavior {
     /// Responds with status 200.
     Serves,
     /// Responds with status 503 and the header that confirms that the request did not run.
     Refuses,
+    /// Like [`Self::Refuses`], with a body of [`LONG_REFUSAL_BYTES`].
+    RefusesAtLength,
     /// Closes the connection without a response.
     LosesAnswer,
     /// Never responds, but keeps the connection open.
@@ -115,6 +120,14 @@
                     stream.write_all(response.as_bytes()).await?;
                     continue;
                 }
+                EndpointBehavior::RefusesAtLength => {
+                    let head = format!(
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
+                    );
+                    stream.write_all(head.as_bytes()).await?;
+                    stream.write_all(&vec![b'x'; LONG_REFUSAL_BYTES]).await?;
+                    continue;
+                }
                 EndpointBehavior::IsAnother => {
                     stream
                         .write_all(b"HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n")
--- a/crates/filbertgrade/src/connection/backend.rs
+++ b/crates/filbertgrade/src/connection/backend.rs
@@ -32,9 +32,19 @@
 /// The latency between two regions is 55 ms each way.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Most bytes that are read and discarded while a connection is being closed. A
+/// backend server that sends without end would otherwise be read at full speed
+/// for all of [`CLOSE_TIMEOUT`].
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
 /// Largest size of a response's status line and headers in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Largest number of bytes that may arrive before the head of a response is
+/// complete. More than one head, because informational responses may precede it
+/// and the start of the body may arrive with it.
+const MAX_BYTES_BEFORE_RESPONSE: u64 = 4 * MAX_RESPONSE_HEAD_BYTES as u64;
+
 /// The type of request bodies on these connections.
 pub type RequestBody = UnsyncBoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
@@ -206,13 +216,17 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection ends first. [`Connection::close`] then returns
-    /// whether any byte of the request was sent.
+    /// Fails when the connection ends first, or more arrives than the head of a
+    /// response can have. [`Connection::close`] then returns whether any byte of
+    /// the request was sent.
     pub async fn send(
         &mut self,
         req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(req).await
+        self.count.limit_received(Some(MAX_BYTES_BEFORE_RESPONSE));
+        let response = self.sender.send_request(req).await?;
+        self.count.limit_received(None);
+        Ok(response)
     }
 
     /// Whether at least one byte of the request has been sent so far.
@@ -301,8 +315,15 @@
 async fn close_gracefully(mut io: CountingIo<TcpStream>) {
     let closing = async {
         io.shutdown().await?;
-        let mut discarded = [0_u8; 4096];
-        while io.read(&mut discarded).await? > 0 {}
+        let mut buf = [0_u8; 4096];
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            let n = io.read(&mut buf).await?;
+            if n == 0 {
+                break;
+            }
+            discarded += n;
+        }
         Ok::<_, std::io::Error>(())
     };
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, closing).await;
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::Node;
 use super::body::{BufferedBody, buffer_body};
-use super::request::Call;
+use super::request::{Call, is_key_valid};
 use super::responses::{self, Body, StreamedResponse};
 use crate::connection::{Busy, CheckoutParams, Connection, PoolError, RequestBody};
 use crate::logfmt;
@@ -80,7 +80,7 @@
     }
 
     /// Reports the outcome to the balancer, and logs if that ejects the endpoint.
-    fn end(&mut self, outcome: Outcome, report: Option<LoadReport>) {
+    pub(super) fn end(&mut self, outcome: Outcome, report: Option<LoadReport>) {
         self.ended = true;
         let now = Instant::now();
         let backoff =
@@ -133,17 +133,25 @@
         lock(&node.balancer).record_connect_time(&attempt.target.region, connect_time);
         metrics::counter!("backend_connections_total").increment(1);
     }
-    let Some(req) = build_request(call, &attempt.target, body) else {
-        return no_response(
-            &mut attempt,
-            call,
-            Failure::DeadlinePassed,
-            AttemptState::NotSent,
-        );
-    };
+    if let Some(failure) = permission_expired(node, call, &attempt.target) {
+        return no_response(&mut attempt, call, failure, AttemptState::NotSent);
+    }
+    let req = build_request(call, &attempt.target, body);
     exchange(attempt, call, connection, req).await
 }
 
+/// Checks again what permitted the request when its endpoint was picked, since
+/// it may have waited for a connection for seconds, or the process may have been
+/// paused. Returns why the request must not be sent any more.
+fn permission_expired(node: &Node, call: &Call, target: &Target) -> Option<Failure> {
+    let now = Instant::now();
+    if now >= call.deadline {
+        return Some(Failure::DeadlinePassed);
+    }
+    let may_send = is_key_valid(node, call, now) && lock(&node.balancer).may_still_send(target);
+    (!may_send).then_some(Failure::Draining)
+}
+
 /// Sends the request on the connection, and reads and checks the response.
 async fn exchange(
     mut attempt: RunningAttempt,
@@ -213,13 +221,24 @@
 ) -> AttemptResult {
     let bytes = match body {
         BufferedBody::Complete(bytes) => bytes,
+        // Too long to be buffered. Nothing of it is needed if the request did not
+        // run, and the connection is closed with the rest of it.
+        BufferedBody::Partial(..) if head.kind != ResponseKind::Run => {
+            drop(connection);
+            return not_run(&mut attempt, call, head);
+        }
         BufferedBody::Partial(start, remaining) => {
-            attempt.end_with_response(head, &parts, call);
+            let outcome = attempt.response_outcome(&parts);
+            if parts.status.is_server_error() {
+                attempt.log(call, "failed_answer", Some(parts.status));
+            }
             let streamed = StreamedResponse {
                 start: Some(start),
                 remaining,
                 connection,
                 attempt,
+                outcome,
+                report: head.load,
                 deadline: call.deadline,
                 idle_limit,
             };
@@ -227,25 +246,25 @@
         }
     };
     attempt.put_back(connection, idle_limit);
-    match head.kind {
-        ResponseKind::NotRun => {
-            let failure = Failure::Shed;
-            refused(&mut attempt, call, failure, Outcome::Refused, head.load)
-        }
-        ResponseKind::Misdirected => {
-            let failure = Failure::Misdirected;
-            refused(&mut attempt, call, failure, Outcome::Misdirected, None)
-        }
-        ResponseKind::Run => {
-            let failed = attempt.end_with_response(head, &parts, call);
-            let response = responses::buffered(parts, bytes);
-            if failed {
-                AttemptResult::ServerError(response)
-            } else {
-                AttemptResult::Response(response)
-            }
-        }
+    if head.kind != ResponseKind::Run {
+        return not_run(&mut attempt, call, head);
     }
+    let failed = attempt.end_with_response(head, &parts, call);
+    let response = responses::buffered(parts, bytes);
+    if failed {
+        AttemptResult::ServerError(response)
+    } else {
+        AttemptResult::Response(response)
+    }
+}
+
+/// Ends an attempt whose response says that the request did not run.
+fn not_run(attempt: &mut RunningAttempt, call: &Call, head: &ResponseHead) -> AttemptResult {
+    let (failure, outcome, load) = match head.kind {
+        ResponseKind::Misdirected => (Failure::Misdirected, Outcome::Misdirected, None),
+        ResponseKind::NotRun | ResponseKind::Run => (Failure::Shed, Outcome::Refused, head.load),
+    };
+    refused(attempt, call, failure, outcome, load)
 }
 
 impl RunningAttempt {
@@ -257,15 +276,22 @@
         parts: &response::Parts,
         call: &Call,
     ) -> bool {
+        self.end(self.response_outcome(parts), head.load);
         let failed = parts.status.is_server_error();
-        let latency = self.latency();
-        self.end(Outcome::Responded { latency, failed }, head.load);
         if failed {
             self.log(call, "failed_answer", Some(parts.status));
         }
         failed
     }
 
+    /// Outcome of an attempt whose response arrives completely.
+    fn response_outcome(&self, parts: &response::Parts) -> Outcome {
+        Outcome::Responded {
+            latency: self.latency(),
+            failed: parts.status.is_server_error(),
+        }
+    }
+
     fn log(&self, call: &Call, result: &str, status: Option<StatusCode>) {
         let target = &self.target;
         log::info!(
@@ -310,7 +336,9 @@
 ) -> AttemptResult {
     let outcome = match failure {
         Failure::NoConnection => Outcome::Unreachable,
-        Failure::DeadlinePassed if state == AttemptState::NotSent => Outcome::Cancelled,
+        Failure::DeadlinePassed | Failure::Draining if state == AttemptState::NotSent => {
+            Outcome::Cancelled
+        }
         Failure::DeadlinePassed => Outcome::TimedOut,
         // The endpoint closed the connection while it was idle.
         Failure::ConnectionLost { reused: true } if state == AttemptState::NotSent => {
@@ -394,19 +422,16 @@
     })
 }
 
-/// Builds the request for the endpoint; `None` if the deadline has passed.
-fn build_request(call: &Call, target: &Target, body: RequestBody) -> Option<Request<RequestBody>> {
+/// Builds the request for the endpoint. The deadline must not have passed.
+fn build_request(call: &Call, target: &Target, body: RequestBody) -> Request<RequestBody> {
     let time_left = call.deadline.saturating_duration_since(Instant::now());
-    if time_left.is_zero() {
-        return None;
-    }
     let chunked = body.size_hint().exact().is_none();
-    let path = call.parts.uri.path_and_query()?.as_str();
-    let mut req = Request::builder()
-        .method(call.parts.method.clone())
-        .uri(path)
-        .body(body)
-        .ok()?;
+    let mut req = Request::new(body);
+    req.method_mut().clone_from(&call.parts.method);
+    // Routes match paths, so a routed request has one.
+    if let Some(path) = call.parts.uri.path_and_query() {
+        *req.uri_mut() = path.clone().into();
+    }
     let headers = req.headers_mut();
     headers.clone_from(&call.parts.headers);
     ForwardHeaders {
@@ -420,7 +445,7 @@
         let value = HeaderValue::from_static("chunked");
         headers.insert(http::header::TRANSFER_ENCODING, value);
     }
-    Some(req)
+    req
 }
 
 /// Number of connections that this VM may have open to one endpoint: an equal
--- a/crates/filbertgrade/src/process/node/body.rs
+++ b/crates/filbertgrade/src/process/node/body.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, BodyStream, Full, Limited, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 
 use crate::connection::RequestBody;
@@ -47,6 +47,9 @@
 pub(crate) struct Upload {
     /// `None` once a partly buffered body was taken for an attempt.
     body: Option<BufferedBody>,
+    /// Longest body that is forwarded. A longer one is cut, so that the endpoint
+    /// does not take it for complete.
+    max_bytes: u64,
     /// Reserved until the upload is dropped; `None` for an empty body.
     _reservation: Option<Reservation>,
 }
@@ -54,7 +57,7 @@
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum BodyError {
-    /// The announced length exceeds the configured limit.
+    /// The body exceeds the configured limit.
     #[error("the body exceeds the length limit")]
     TooLarge,
     /// The memory for request bodies is in use by other requests.
@@ -90,8 +93,8 @@
     }
 
     /// Reads the body of a caller's request up to [`MAX_BUFFERED_BYTES`], for
-    /// which it reserves memory. `max_bytes` limits the length that the caller
-    /// announces.
+    /// which it reserves memory. `max_bytes` limits the length of the body,
+    /// whether the caller announces it or sends the body in chunks.
     pub(crate) async fn read(&self, body: Incoming, max_bytes: u64) -> Result<Upload, BodyError> {
         let hint = body.size_hint();
         if hint.lower() > max_bytes {
@@ -100,6 +103,7 @@
         if body.is_end_stream() {
             return Ok(Upload {
                 body: Some(BufferedBody::Complete(Bytes::new())),
+                max_bytes,
                 _reservation: None,
             });
         }
@@ -107,11 +111,19 @@
             n.min(MAX_BUFFERED_BYTES as u64)
         });
         let reservation = self.reserve(buffer_bytes).ok_or(BodyError::NoMemory)?;
-        let body = buffer_body(body, MAX_BUFFERED_BYTES)
+        let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        let body = buffer_body(body, limit.min(MAX_BUFFERED_BYTES))
             .await
             .map_err(|_| BodyError::Truncated)?;
+        let body = match body {
+            BufferedBody::Partial(..) if limit <= MAX_BUFFERED_BYTES => {
+                return Err(BodyError::TooLarge);
+            }
+            body => body,
+        };
         Ok(Upload {
             body: Some(body),
+            max_bytes,
             _reservation: Some(reservation),
         })
     }
@@ -152,9 +164,10 @@
                 Some(body.boxed_unsync())
             }
             BufferedBody::Partial(bytes, remaining) => {
+                let allowed = self.max_bytes.saturating_sub(bytes.len() as u64);
+                let allowed = usize::try_from(allowed).unwrap_or(usize::MAX);
                 let start = futures::stream::iter([Ok(Frame::data(bytes))]);
-                let remaining = http_body_util::BodyStream::new(remaining)
-                    .map(|frame| frame.map_err(Into::into));
+                let remaining = BodyStream::new(Limited::new(remaining, allowed));
                 Some(StreamBody::new(start.chain(remaining)).boxed_unsync())
             }
         }
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -371,7 +371,7 @@
 
 /// Whether the API key of a request is still accepted. It may have been withdrawn
 /// while the request was waiting.
-fn is_key_valid(node: &Node, call: &Call, now: Instant) -> bool {
+pub(super) fn is_key_valid(node: &Node, call: &Call, now: Instant) -> bool {
     if call.team.is_none() || call.route.public {
         return true;
     }
--- a/crates/filbertgrade/src/process/node/responses.rs
+++ b/crates/filbertgrade/src/process/node/responses.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use filbertgrade_coord::steering::balancer::{LoadReport, Outcome};
 use futures::stream::{self, Stream};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 
 use super::attempt::RunningAttempt;
 use crate::connection::{Busy, Connection};
@@ -29,6 +30,10 @@
     DeadlinePassed,
 }
 
+/// The deadline of a request passed while its response was being streamed.
+#[derive(Debug)]
+struct DeadlinePassed;
+
 /// A response of a backend server that is too long to be buffered, and is
 /// streamed to the caller.
 #[derive(Debug)]
@@ -38,6 +43,10 @@
     pub(super) remaining: Incoming,
     pub(super) connection: Connection<Busy>,
     pub(super) attempt: RunningAttempt,
+    /// Outcome of the attempt if the rest of the body arrives.
+    pub(super) outcome: Outcome,
+    /// Load that the endpoint reported with the response.
+    pub(super) report: Option<LoadReport>,
     pub(super) deadline: Instant,
     /// How long the connection may be idle after the response.
     pub(super) idle_limit: Duration,
@@ -50,19 +59,39 @@
         StreamBody::new(self.frames()).boxed_unsync()
     }
 
+    /// Reads the next part of the body, until the deadline. A part that is there
+    /// already is passed on even later, unless the body has no known end: an
+    /// endpoint may send without end, and always has a next part.
+    async fn next_frame(
+        &mut self,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, DeadlinePassed> {
+        let has_known_end = self.remaining.size_hint().upper().is_some();
+        if !has_known_end && Instant::now() >= self.deadline {
+            return Err(DeadlinePassed);
+        }
+        tokio::time::timeout_at(self.deadline.into(), self.remaining.frame())
+            .await
+            .map_err(|_elapsed| DeadlinePassed)
+    }
+
     fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, ResponseError>> + Send + 'static {
         stream::unfold(Some(self), |response| async move {
             let mut response = response?;
             if let Some(start) = response.start.take() {
                 return Some((Ok(Frame::data(start)), Some(response)));
             }
-            let next =
-                tokio::time::timeout_at(response.deadline.into(), response.remaining.frame()).await;
-            match next {
-                Err(_) => Some((Err(ResponseError::DeadlinePassed), None)),
-                Ok(Some(Err(error))) => Some((Err(ResponseError::Truncated(error)), None)),
+            match response.next_frame().await {
+                Err(DeadlinePassed) => {
+                    response.attempt.end(Outcome::TimedOut, None);
+                    Some((Err(ResponseError::DeadlinePassed), None))
+                }
+                Ok(Some(Err(error))) => {
+                    response.attempt.end(Outcome::ConnectionLost, None);
+                    Some((Err(ResponseError::Truncated(error)), None))
+                }
                 Ok(Some(Ok(frame))) => Some((Ok(frame), Some(response))),
                 Ok(None) => {
+                    response.attempt.end(response.outcome, response.report);
                     response
                         .attempt
                         .put_back(response.connection, response.idle_limit);
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -203,14 +203,25 @@
         id: &str,
         key: Option<&str>,
     ) -> TestResponse {
+        let head = self.request_head(method, route, id, key);
+        exchange(self.callers, &head).await.unwrap()
+    }
+
+    /// Head of a request whose connection is closed after the response.
+    pub(crate) fn request_head(
+        &self,
+        method: &str,
+        route: &str,
+        id: &str,
+        key: Option<&str>,
+    ) -> String {
         let key = key.map_or(String::new(), |key| {
             format!("authorization: Bearer {key}\r\n")
         });
-        let head = format!(
+        format!(
             "{method} /{route}/7 HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: {id}\r\n\
              x-filbertgrade-affinity-key: 17\r\nx-filbertgrade-deadline-ms: 3000\r\n{key}connection: close\r\n\r\n"
-        );
-        exchange(self.callers, &head).await.unwrap()
+        )
     }
 
     pub(crate) async fn is_ready(&self) -> bool {
@@ -243,6 +254,15 @@
             .collect()
     }
 
+    /// Largest memory in use by the process so far, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id().unwrap());
+        let status = std::fs::read_to_string(status).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let number = line.unwrap().split_whitespace().nth(1).unwrap();
+        number.parse().unwrap()
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: rustix::process::Signal) {
         let id = i32::try_from(self.child.id().unwrap()).unwrap();
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -6,10 +6,12 @@
     reason = "a set-up step that fails must fail the test"
 )]
 
+mod bad_bytes;
 mod cluster;
 mod configuration;
 mod explain;
 mod fleet;
+mod permissions;
 mod requests;
 mod restart;
 mod silence;
--- a/crates/filbertgrade/tests/node/requests.rs
+++ b/crates/filbertgrade/tests/node/requests.rs
@@ -127,6 +127,7 @@
 /// confirmed that it did not run it, so that another one could.
 #[rstest]
 #[case(EndpointBehavior::Refuses)]
+#[case(EndpointBehavior::RefusesAtLength)]
 #[case(EndpointBehavior::IsAnother)]
 #[tokio::test]
 async fn refused_non_idempotent_request_is_retried_on_another_endpoint(
@@ -186,3 +187,29 @@
     assert_eq!(&status_line, b"HTTP/1.1 413");
     assert_eq!(cluster.requests_run(), 0);
 }
+
+/// Guards against a request that runs although its body exceeds the limit, when
+/// the body is sent in chunks without a length.
+#[tokio::test]
+async fn chunked_body_over_the_limit_is_refused() {
+    let cluster = TestCluster::start(&[10]).await;
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: i1\r\n\
+         authorization: Bearer {KEY}\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+    );
+    let chunk = format!("4e20\r\n{}\r\n", "x".repeat(20_000));
+    let mut stream = tokio::net::TcpStream::connect(cluster.nodes[0].callers)
+        .await
+        .unwrap();
+    for part in [head.as_str(), &chunk.repeat(6), "0\r\n\r\n"] {
+        tokio::io::AsyncWriteExt::write_all(&mut stream, part.as_bytes())
+            .await
+            .unwrap();
+    }
+    let mut status_line = [0; 12];
+    tokio::io::AsyncReadExt::read_exact(&mut stream, &mut status_line)
+        .await
+        .unwrap();
+    assert_eq!(&status_line, b"HTTP/1.1 413");
+    assert_eq!(cluster.requests_run(), 0);
+}
--- a/crates/filbertgrade/tests/node/restart.rs
+++ b/crates/filbertgrade/tests/node/restart.rs
@@ -10,16 +10,21 @@
 #[tokio::test]
 async fn restarted_node_uses_no_endpoint_that_has_left() {
     let mut cluster = TestCluster::start(&[1, 1]).await;
+    // All requests are for the object that this endpoint handles.
+    let first = cluster.get("open", "a").await;
+    let left = usize::from(first.body.contains("i-1"));
     cluster.store.freeze_stale_reads();
-    cluster.store.remove("servers", "i-0");
+    cluster.store.remove("servers", &format!("i-{left}"));
+    cluster.nodes[0]
+        .line_with(&["event=endpoint_removed"])
+        .await;
     restart(&mut cluster).await;
-    let left = cluster.endpoints[0].clone();
     for n in 0..40 {
         let response = cluster.get("open", &format!("a{n}")).await;
-        assert_eq!(response.status, 200);
-        assert_eq!(response.body, format!("answer of i-1 to a{n}"));
+        let expected = format!("answer of i-{} to a{n}", 1 - left);
+        assert_eq!((response.status, response.body), (200, expected));
     }
-    assert_eq!(left.run_heads().len(), 0);
+    assert_eq!(cluster.endpoints[left].run_heads().len(), 1);
 }
 
 /// Guards against a restarted node that accepts a key that was withdrawn before
