Choose relays that the store serves, call a lost store from few nodes, fit summaries of large regions

Heartbeats already said whether the store responds to their sender. VMs that it turns away now rank behind the others, so that a region is followed by a VM that the store serves, and a node that knows that the store does not respond to it leaves the calls to the first of its region.

A first attempt counted the failure of an old connection as one of the store.

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -67,8 +67,8 @@
     /// Another endpoint has responded at its address.
     pub(super) misdirected: bool,
     pub(super) cold_until: Option<Instant>,
-    /// Limits the requests of this VM while the endpoint is cold. `None` then
-    /// means that this VM must not send to it.
+    /// Limits the requests of this VM while the endpoint is cold; `None` while it
+    /// is warm.
     pub(super) cold_limit: Option<ColdStartLimit>,
 }
 
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -412,8 +412,7 @@
     }
 
     /// Creates the rate limits of cold endpoints and removes those of endpoints
-    /// that are warm or that this VM must not send to. Existing limits keep
-    /// their tokens.
+    /// that are warm. Existing limits keep their tokens.
     fn update_cold_limits(&mut self, now: Instant) {
         for (name, service) in &mut self.services {
             let rate = self
@@ -427,12 +426,9 @@
                     continue;
                 }
                 let senders = cold_start_senders(&key.id, &self.cfg.vm, &self.vms);
-                match (senders, &mut state.cold_limit) {
-                    (Some(senders), Some(limit)) => limit.set_senders(rate, senders, now),
-                    (Some(senders), limit) => {
-                        *limit = Some(ColdStartLimit::new(rate, senders, now));
-                    }
-                    (None, limit) => *limit = None,
+                match &mut state.cold_limit {
+                    Some(limit) => limit.set_senders(rate, senders, now),
+                    limit => *limit = Some(ColdStartLimit::new(rate, senders, now)),
                 }
             }
         }
--- a/crates/filbertgrade-coord/src/steering/cold_start.rs
+++ b/crates/filbertgrade-coord/src/steering/cold_start.rs
@@ -19,43 +19,54 @@
 ///
 /// The VMs that may send are selected by rendezvous hashing, so that VMs with
 /// the same member list agree on them. Each of them spaces its requests evenly:
-/// the largest burst of all of them together is one request each.
+/// the largest burst of all of them together is one request each. A VM that is
+/// selected later, because another one has stopped, starts without a token.
 #[derive(Clone, Debug)]
 pub struct ColdStartLimit {
     bucket: TokenBucket,
+    may_send: bool,
 }
 
 impl ColdStartLimit {
     /// Creates the limit of one of `senders` VMs for an endpoint that accepts
     /// `rate` requests a second from all VMs together. It starts with one token.
-    pub fn new(rate: f64, senders: usize, now: Instant) -> Self {
+    /// `senders` is `None` for a VM that must not send.
+    pub fn new(rate: f64, senders: Option<usize>, now: Instant) -> Self {
         let mut bucket = TokenBucket::new(sender_share(rate, senders), now);
-        bucket.add_share(RateShare::ZERO, 1.0, now);
-        Self { bucket }
+        if senders.is_some() {
+            bucket.add_share(RateShare::ZERO, 1.0, now);
+        }
+        Self {
+            bucket,
+            may_send: senders.is_some(),
+        }
     }
 
     /// Changes the rate and the number of VMs that may send. The tokens remain,
     /// so that a change of the running VMs permits no further request.
-    pub fn set_senders(&mut self, rate: f64, senders: usize, now: Instant) {
+    pub fn set_senders(&mut self, rate: f64, senders: Option<usize>, now: Instant) {
         self.bucket.set_share(sender_share(rate, senders), now);
+        self.may_send = senders.is_some();
     }
 
     /// Takes a token for one request, and returns false if there is none.
     pub fn try_take(&mut self, now: Instant) -> bool {
-        self.bucket.try_take(now)
+        self.may_send && self.bucket.try_take(now)
     }
 
     /// Reports whether a request is allowed now, without taking a token.
     pub fn has_token(&mut self, now: Instant) -> bool {
         self.bucket.refill(now);
-        self.bucket.tokens() >= 1.0
+        self.may_send && self.bucket.tokens() >= 1.0
     }
 }
 
-/// The share of each of `senders` VMs in `rate` requests a second.
-fn sender_share(rate: f64, senders: usize) -> RateShare {
+/// The share of each of `senders` VMs in `rate` requests a second; no rate for a
+/// VM that must not send.
+fn sender_share(rate: f64, senders: Option<usize>) -> RateShare {
     let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
-    RateShare::new(rate / senders.max(1) as f64, 1.0).unwrap_or(RateShare::ZERO)
+    let rate = senders.map_or(0.0, |senders| rate / senders.max(1) as f64);
+    RateShare::new(rate, 1.0).unwrap_or(RateShare::ZERO)
 }
 
 /// Returns the number of VMs that may send to the cold endpoint `id`, or `None`
--- a/crates/filbertgrade-coord/src/steering/following.rs
+++ b/crates/filbertgrade-coord/src/steering/following.rs
@@ -5,8 +5,43 @@
 //! without changes, so that drains, evacuations and withdrawn keys would arrive
 //! only after the poll has timed out.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// From where a VM reads the changes of the store next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFrom {
+    /// From the relay at this address.
+    Relay(SocketAddr),
+    /// From the store itself.
+    Store,
+    /// From neither for now: all relays have failed recently, and the store
+    /// does not respond to this VM. The relay at this address is tried again
+    /// after a delay.
+    Wait(SocketAddr),
+}
+
+/// Decides from where a VM reads next. `relays` are those of this VM in order of
+/// preference, none if it follows the store for its region.
+///
+/// Handles an outage of the store, in which all relays fail and every VM would
+/// call the store again and again. A VM that knows that the store does not
+/// respond to it leaves the calls to the first VMs of its region, whose relays
+/// it tries again.
+pub fn read_from(
+    relays: &[SocketAddr],
+    failed_recently: impl Fn(&SocketAddr) -> bool,
+    store_unreachable: bool,
+) -> ReadFrom {
+    if let Some(relay) = relays.iter().find(|relay| !failed_recently(relay)) {
+        return ReadFrom::Relay(*relay);
+    }
+    match relays.first() {
+        Some(relay) if store_unreachable => ReadFrom::Wait(*relay),
+        _ => ReadFrom::Store,
+    }
+}
+
 /// What to do after a pull from a relay failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterPullFailure {
--- a/crates/filbertgrade-coord/src/steering/members.rs
+++ b/crates/filbertgrade-coord/src/steering/members.rs
@@ -5,7 +5,7 @@
 //! in the store from its start until it stops; whether it runs is detected by
 //! the heartbeats that VMs send each other.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -56,6 +56,34 @@
     pub ready: bool,
     /// The VM is about to stop.
     pub leaving: bool,
+    /// The last calls of the VM to the store failed, or it has made none. A VM
+    /// that uses a relay makes none for long and does not know better.
+    pub store_unreachable: bool,
+}
+
+/// The VMs of a region, as a summary describes them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegionVms {
+    /// The running VMs, and whether each is ready.
+    Running(HashMap<VmName, bool>),
+    /// All VMs that the store lists are running and ready, except these.
+    AllExcept {
+        /// VMs that run and cannot serve callers.
+        not_ready: HashSet<VmName>,
+        /// VMs that do not run.
+        not_running: HashSet<VmName>,
+    },
+}
+
+impl RegionVms {
+    /// Whether a VM is ready; `None` if it does not run.
+    fn is_ready(&self, vm: &VmName) -> Option<bool> {
+        match self {
+            Self::Running(running) => running.get(vm).copied(),
+            Self::AllExcept { not_running, .. } if not_running.contains(vm) => None,
+            Self::AllExcept { not_ready, .. } => Some(!not_ready.contains(vm)),
+        }
+    }
 }
 
 /// The VMs of the fleet, as one of them sees it.
@@ -157,8 +185,8 @@
 
     /// Peer address of the VM that this one polls in place of the store. `None`
     /// when this VM polls the store itself, on behalf of its region.
-    pub fn relay(&self, now: Instant) -> Option<SocketAddr> {
-        self.relays(now).into_iter().next()
+    pub fn relay(&self, local_unreachable: bool, now: Instant) -> Option<SocketAddr> {
+        self.relays(local_unreachable, now).into_iter().next()
     }
 
     /// Peer addresses of the VMs that this one polls in place of the store, in
@@ -167,21 +195,32 @@
     ///
     /// The running VMs of a region form a tree by their rank in a rendezvous hash
     /// of the region, in which each VM is the first choice of at most ten others,
-    /// however large the region is.
-    pub fn relays(&self, now: Instant) -> Vec<SocketAddr> {
+    /// however large the region is. VMs that the store turns away rank behind all
+    /// others, so that the first one has access to the store if any VM has.
+    /// `local_unreachable` is this for the local VM; see
+    /// [`Heartbeat::store_unreachable`].
+    pub fn relays(&self, local_unreachable: bool, now: Instant) -> Vec<SocketAddr> {
         let in_region = |member: &Member| member.region == self.local.region;
-        let running: HashMap<&str, SocketAddr> = self
+        let running: HashMap<&str, (SocketAddr, bool)> = self
             .peers
             .values()
-            .filter(|peer| peer.last_heartbeat.is_some() && peer.is_running(now))
-            .map(|peer| &peer.member)
-            .filter(|member| in_region(member))
-            .map(|member| (member.vm.as_str(), member.peer_address))
+            .filter(|peer| peer.is_running(now) && in_region(&peer.member))
+            .filter_map(|peer| {
+                let (_, heartbeat) = peer.last_heartbeat?;
+                let relay = (peer.member.peer_address, heartbeat.store_unreachable);
+                Some((peer.member.vm.as_str(), relay))
+            })
             .collect();
         let key = format!("relay/{}", self.local.region);
         let local = self.local.vm.as_str();
         let count = running.len() + 1;
-        let ranked = rendezvous::top(&key, running.keys().copied().chain([local]), count);
+        let mut ranked = rendezvous::top(&key, running.keys().copied().chain([local]), count);
+        let is_unreachable = |name: &str| {
+            let peer = running.get(name);
+            peer.map_or(local_unreachable, |(_, unreachable)| *unreachable)
+        };
+        // Stable, so that the order by hash remains within both groups.
+        ranked.sort_by_key(|name| is_unreachable(name));
         let rank = ranked.iter().position(|name| *name == local).unwrap_or(0);
         let mut relay_ranks = Vec::new();
         if rank > 0 {
@@ -192,45 +231,59 @@
         }
         let names = relay_ranks.into_iter().filter_map(|rank| ranked.get(rank));
         names
-            .filter_map(|name| running.get(name).copied())
+            .filter_map(|name| running.get(name).map(|(address, _)| *address))
             .collect()
     }
 
-    /// Records the summary of another region: its running VMs, and whether each
-    /// is ready. It takes the place of the heartbeats of these VMs, which go to
-    /// other regions only when a VM stops.
-    pub fn record_region_summary(
-        &mut self,
-        region: &RegionName,
-        running: &HashMap<VmName, bool>,
-        now: Instant,
-    ) {
+    /// Records the summary of another region. It takes the place of the
+    /// heartbeats of its VMs, which go to other regions only when a VM stops.
+    pub fn record_region_summary(&mut self, region: &RegionName, vms: &RegionVms, now: Instant) {
         for peer in self.peers.values_mut() {
             if peer.member.region != *region {
                 continue;
             }
-            if let Some(ready) = running.get(&peer.member.vm) {
+            if let Some(ready) = vms.is_ready(&peer.member.vm) {
                 let heartbeat = Heartbeat {
                     incarnation: peer.member.incarnation,
-                    ready: *ready,
+                    ready,
                     leaving: false,
+                    // Relays are chosen within a region only.
+                    store_unreachable: false,
                 };
                 peer.last_heartbeat = Some((now, heartbeat));
             }
         }
     }
 
-    /// Summary of this region for the other ones: its running VMs, this one
-    /// included, and whether each is ready.
-    pub fn region_summary(&self, local_ready: bool, now: Instant) -> Vec<(VmName, bool)> {
-        let mut summary: Vec<(VmName, bool)> = self
-            .peers
-            .values()
-            .filter(|peer| peer.member.region == self.local.region && peer.is_running(now))
-            .map(|peer| (peer.member.vm.clone(), peer.is_ready(now)))
-            .collect();
-        summary.push((self.local.vm.clone(), local_ready));
-        summary
+    /// Summary of this region for the other ones, this VM included. It names the
+    /// running VMs if their names have at most `max_name_bytes`, and otherwise
+    /// the exceptions, which are few in a large region.
+    pub fn region_summary(
+        &self,
+        local_ready: bool,
+        max_name_bytes: usize,
+        now: Instant,
+    ) -> RegionVms {
+        let mut running = HashMap::from([(self.local.vm.clone(), local_ready)]);
+        let mut not_running = HashSet::new();
+        let peers = self.peers.values();
+        for peer in peers.filter(|peer| peer.member.region == self.local.region) {
+            let vm = peer.member.vm.clone();
+            if peer.is_running(now) {
+                running.insert(vm, peer.is_ready(now));
+            } else {
+                not_running.insert(vm);
+            }
+        }
+        let name_bytes: usize = running.keys().map(|vm| vm.as_str().len()).sum();
+        if name_bytes <= max_name_bytes {
+            return RegionVms::Running(running);
+        }
+        let not_ready = running.into_iter().filter(|(_, ready)| !ready);
+        RegionVms::AllExcept {
+            not_ready: not_ready.map(|(vm, _)| vm).collect(),
+            not_running,
+        }
     }
 
     /// The entry of this VM.
@@ -274,6 +327,8 @@
             selected.push(&self.local);
         }
         selected.sort_by(|a, b| a.vm.cmp(&b.vm));
+        let first = self.first_of_lookup(&selected);
+        selected.rotate_left(first);
         selected.truncate(MAX_LOOKUP_VMS);
         selected
             .iter()
@@ -281,6 +336,29 @@
             .collect()
     }
 
+    /// Index of the first VM that this one returns of `selected`, which is sorted
+    /// and may exceed the length of a response.
+    ///
+    /// Together the responses of all VMs name all of `selected`, so that a large
+    /// region has no VM without callers. Those of a failure domain are equal,
+    /// because callers close their connections to VMs that a later response does
+    /// not name; only a region that they could not cover has one for each VM.
+    fn first_of_lookup(&self, selected: &[&Member]) -> usize {
+        if selected.len() <= MAX_LOOKUP_VMS {
+            return 0;
+        }
+        let mut domains: Vec<&FailureDomainName> =
+            selected.iter().map(|m| &m.failure_domain).collect();
+        domains.sort();
+        domains.dedup();
+        if selected.len() <= MAX_LOOKUP_VMS * domains.len() {
+            let index = domains.partition_point(|domain| *domain < &self.local.failure_domain);
+            (index % domains.len()) * selected.len() / domains.len()
+        } else {
+            selected.partition_point(|member| member.vm < self.local.vm) % selected.len()
+        }
+    }
+
     /// The other VMs for which `accepts` returns true, and this one if
     /// `include_local` is true.
     fn select(
--- a/crates/filbertgrade-coord/src/steering/quota/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/quota/mod.rs
@@ -235,12 +235,14 @@
     }
 
     /// Arrivals by team that this VM counts as a holder, in requests a second,
-    /// to be reported to the other VMs of the region.
+    /// to be reported to the other VMs of the region. The teams closest to or
+    /// furthest over their limits come first.
     ///
     /// Shares are computed from the values reported last. Otherwise a VM would
     /// see its own arrivals grow before those of others.
     pub fn demand(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
-        self.teams
+        let demand = self
+            .teams
             .iter_mut()
             .filter(|(_, quota)| quota.limit.rate > 0.0)
             .map(|(team, quota)| {
@@ -248,17 +250,31 @@
                 (team.clone(), quota.holder_state.reported)
             })
             .filter(|(_, rate)| *rate > 0.01)
-            .collect()
+            .collect();
+        self.sort_by_utilization(demand)
     }
 
     /// Arrivals in this region by team, in requests a second, to be reported to
-    /// the other regions.
+    /// the other regions. The teams closest to or furthest over their limits come
+    /// first.
     pub fn region_demand(&mut self, now: Instant) -> Vec<(TeamName, f64)> {
         let mut sum: IndexMap<TeamName, f64> = self.demand(now).into_iter().collect();
         for (team, rate) in self.remote.peer_arrivals(now) {
             *sum.entry(team.clone()).or_default() += rate;
         }
-        sum.into_iter().collect()
+        self.sort_by_utilization(sum.into_iter().collect())
+    }
+
+    /// Sorts teams by the fraction of their limits that they use, most first. A
+    /// report that is cut then omits teams whose arrivals do not affect how
+    /// their limits are kept.
+    fn sort_by_utilization(&self, mut demand: Vec<(TeamName, f64)>) -> Vec<(TeamName, f64)> {
+        let utilization = |(team, rate): &(TeamName, f64)| {
+            let limit = self.teams.get(team).map_or(0.0, |quota| quota.limit.rate);
+            if limit > 0.0 { rate / limit } else { 0.0 }
+        };
+        demand.sort_by(|a, b| utilization(b).total_cmp(&utilization(a)));
+        demand
     }
 
     /// Decides whether a request of a team is within its limit. A team that is
--- a/crates/filbertgrade-coord/src/steering/store_health.rs
+++ b/crates/filbertgrade-coord/src/steering/store_health.rs
@@ -81,6 +81,12 @@
         self.failing_since.is_some()
     }
 
+    /// Reports whether the store did not respond to the last call, or no call
+    /// has succeeded yet.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_failing() || self.last_success_at.is_none()
+    }
+
     /// Returns the age of the newest confirmation, or `None` if there is none.
     pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at
@@ -120,7 +126,7 @@
     /// reported to other VMs; zero while calls fail. `process_started` counts
     /// as the start if there was no outage.
     pub fn available_for(&self, process_started: Instant, now: Instant) -> Duration {
-        if self.failing_since.is_some() || self.last_success_at.is_none() {
+        if self.is_unreachable() {
             return Duration::ZERO;
         }
         let since = self
--- a/crates/filbertgrade-coord/tests/steering/following.rs
+++ b/crates/filbertgrade-coord/tests/steering/following.rs
@@ -1,8 +1,11 @@
 //! Tests of the decisions that follow failed pulls and stalled watches.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::steering::following::{AfterPullFailure, PullFailures, StallDetector};
+use filbertgrade_coord::steering::following::{
+    AfterPullFailure, PullFailures, ReadFrom, StallDetector, read_from,
+};
 
 const TOLERANCE: Duration = Duration::from_millis(400);
 
@@ -50,3 +53,24 @@
         assert_eq!(detector.record_newest(8 + u64::from(n), later), stalled_at);
     }
 }
+
+/// Guards against a fleet whose VMs all call the store in an outage, in which
+/// all relays fail as well, and against VMs that call it although a relay works.
+#[test]
+fn only_the_first_vms_call_a_store_that_does_not_respond() {
+    let relays = [1, 2].map(|port| SocketAddr::from(([10, 0, 0, 1], port)));
+    let none_failed = |_: &SocketAddr| false;
+    let first_failed = |relay: &SocketAddr| *relay == relays[0];
+    let all_failed = |_: &SocketAddr| true;
+    for unreachable in [false, true] {
+        let from = |failed: &dyn Fn(&SocketAddr) -> bool| read_from(&relays, failed, unreachable);
+        assert_eq!(from(&none_failed), ReadFrom::Relay(relays[0]));
+        assert_eq!(from(&first_failed), ReadFrom::Relay(relays[1]));
+        assert_eq!(read_from(&[], none_failed, unreachable), ReadFrom::Store);
+    }
+    assert_eq!(read_from(&relays, all_failed, false), ReadFrom::Store);
+    assert_eq!(
+        read_from(&relays, all_failed, true),
+        ReadFrom::Wait(relays[0])
+    );
+}
--- a/crates/filbertgrade-coord/tests/steering/limits.rs
+++ b/crates/filbertgrade-coord/tests/steering/limits.rs
@@ -281,6 +281,32 @@
     assert_eq!(admission, Admission::Admitted);
 }
 
+/// Guards against a report from which the team that exceeds its limit is cut,
+/// since other teams with higher limits send more: the other regions would then
+/// take its arrivals for none, and admit more than its limit.
+#[test]
+fn teams_over_their_limits_are_reported_first() {
+    let start = Instant::now();
+    let mut quotas = Quotas::new(vm("vm-0"));
+    let team = |name: &str| TeamName::try_from(name).unwrap();
+    let limit = |rate| Limit { rate, burst: 10.0 };
+    let mut limits: Vec<(TeamName, Limit)> = (0..140)
+        .map(|n| (team(&format!("large-{n}")), limit(1_000.0)))
+        .collect();
+    limits.push((team("over"), limit(2.0)));
+    quotas.set_limits(limits.clone(), start);
+    let now = start + Duration::from_secs(1);
+    for (name, _) in &limits {
+        let arrivals = if name.as_str() == "over" { 10 } else { 40 };
+        for _ in 0..arrivals {
+            let _ = quotas.admit(name, now);
+        }
+    }
+    let reported = quotas.region_demand(now);
+    assert_eq!(reported.len(), limits.len());
+    assert_eq!(reported[0].0, team("over"));
+}
+
 /// Guards against more retries than the budget allows when every request fails.
 #[test]
 fn retries_stay_within_their_budget() {
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -36,21 +36,31 @@
 /// Longest datagram that common links transmit without fragmentation.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Longest list of names of VMs in a region summary, in bytes. The rest of the
+/// datagram is for the demand of teams.
+const MAX_SUMMARY_NAME_BYTES: usize = 500;
+
 /// Sends heartbeats and region summaries until the process ends. A heartbeat is
-/// sent early when affinity updates are pending.
+/// sent early when affinity updates are pending or the state of this VM changed.
 pub(super) async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut next_heartbeat = Instant::now();
     // Has its own schedule, since pending affinity updates make heartbeats more
     // frequent.
     let mut next_region_summary = next_heartbeat;
+    let mut sent_state = None;
     loop {
         let now = Instant::now();
+        let state = Some(node.heartbeat(now));
         if now >= next_region_summary {
             send_region_summary(&node, &socket).await;
             next_region_summary = now + HEARTBEAT_INTERVAL;
         }
         let new_members = lock(&node.members).take_new_members();
-        if now >= next_heartbeat || lock(&node.balancer).affinities().has_pending_updates() {
+        if now >= next_heartbeat
+            || state != sent_state
+            || lock(&node.balancer).affinities().has_pending_updates()
+        {
+            sent_state = state;
             send_once(&node, &socket, BroadcastScope::Region).await;
             next_heartbeat = now + HEARTBEAT_INTERVAL;
         } else if !new_members.is_empty() {
@@ -84,7 +94,8 @@
 /// follows the store for its region, that is, if it has no relay itself.
 async fn send_region_summary(node: &Node, socket: &UdpSocket) {
     let now = Instant::now();
-    if lock(&node.members).relay(now).is_some() {
+    let store_unreachable = lock(&node.store_health).is_unreachable();
+    if lock(&node.members).relay(store_unreachable, now).is_some() {
         return;
     }
     let bytes = encode_region_summary(node, now);
@@ -150,18 +161,11 @@
 }
 
 fn encode_region_summary(node: &Node, now: Instant) -> Vec<u8> {
-    let summary = lock(&node.members).region_summary(node.is_ready(now), now);
-    let names = |wanted: bool| {
-        let selected = summary.iter().filter(|(_, ready)| *ready == wanted);
-        selected.map(|(vm, _)| vm.as_str().to_owned()).collect()
-    };
+    let vms = lock(&node.members).region_summary(node.is_ready(now), MAX_SUMMARY_NAME_BYTES, now);
     let demand = lock(&node.quotas).region_demand(now);
+    let region = node.settings.load().region.clone();
     let mut wire = WireHeartbeat {
-        region_summary: Some(WireRegionSummary {
-            region: node.settings.load().region.as_str().to_owned(),
-            ready: names(true),
-            not_ready: names(false),
-        }),
+        region_summary: Some(WireRegionSummary::new(&region, &vms)),
         demand: Some(wire_demand(demand)),
         ..base_heartbeat(node, now)
     };
@@ -169,10 +173,7 @@
     encode_datagram(wire)
 }
 
-/// Sorts teams by descending rate, so that [`truncate_demand`] removes those
-/// with the fewest requests.
-fn wire_demand(mut demand: Vec<(TeamName, f64)>) -> WireDemands {
-    demand.sort_by(|a, b| b.1.total_cmp(&a.1));
+fn wire_demand(demand: Vec<(TeamName, f64)>) -> WireDemands {
     let teams = demand.into_iter().map(|(team, rate)| WireDemand {
         team: team.as_str().to_owned(),
         rate: rate as f32,
@@ -182,8 +183,9 @@
     }
 }
 
-/// Removes teams from the end of the demand until the heartbeat is at most
-/// [`MAX_DATAGRAM_BYTES`] long or no team is left.
+/// Removes teams from the end of the demand, which are those furthest below
+/// their limits, until the heartbeat is at most [`MAX_DATAGRAM_BYTES`] long or no
+/// team is left.
 fn truncate_demand(wire: &mut WireHeartbeat) {
     while wire.encoded_len() > MAX_DATAGRAM_BYTES {
         let teams = wire.demand.as_mut().map(|demand| &mut demand.teams);
@@ -265,15 +267,16 @@
         region_summary,
     } = received;
     if let Some(summary) = region_summary {
-        lock(&node.members).record_region_summary(&summary.region, &summary.running, now);
+        lock(&node.members).record_region_summary(&summary.region, &summary.vms, now);
         lock(&node.quotas).record_region_demand(summary.region, demand.unwrap_or_default(), now);
         return None;
     }
     if lock(&node.members).record_heartbeat(&vm, heartbeat, now) {
         log::info!(
-            "event=peer_state vm={vm} ready={} leaving={}",
+            "event=peer_state vm={vm} ready={} leaving={} store_unreachable={}",
             heartbeat.ready,
             heartbeat.leaving,
+            heartbeat.store_unreachable,
         );
     }
     store::detect_local_outage(node, store_uptime, now);
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -252,6 +252,7 @@
             incarnation: self.incarnation,
             ready: self.is_ready(now),
             leaving: self.is_leaving(),
+            store_unreachable: lock(&self.store_health).is_unreachable(),
         }
     }
 
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -11,7 +11,9 @@
 use filbertgrade_coord::rendezvous;
 use filbertgrade_coord::steering::deployment::Deployment;
 use filbertgrade_coord::steering::endpoint::Endpoint;
-use filbertgrade_coord::steering::following::{AfterPullFailure, PullFailures, StallDetector};
+use filbertgrade_coord::steering::following::{
+    self, AfterPullFailure, PullFailures, ReadFrom, StallDetector,
+};
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::Limit;
 use filbertgrade_coord::steering::registry::{Registry, RegistryChange};
@@ -45,6 +47,10 @@
 /// How long a node sends no pulls to a relay that failed one.
 const RELAY_EXCLUSION_TIME: Duration = Duration::from_secs(2);
 
+/// Delay before a failed relay is tried again while the store does not respond
+/// either.
+const RELAY_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// Delay before a node fails over to its next relay, so that this relay has
 /// time to reach the store itself.
 const RELAY_FAILOVER_DELAY: Duration = Duration::from_millis(250);
@@ -176,6 +182,8 @@
     pull_failures: PullFailures,
     /// The last watch stalled, so the next one must not wait.
     watch_stalled: bool,
+    /// The last call to the store failed with a connection that had worked.
+    connection_failed: bool,
     /// Notified when the store responds again after an outage.
     store_restored: watch::Receiver<()>,
     /// When pulls from relays last failed, for any kind.
@@ -203,6 +211,7 @@
             client: client(node),
             pull_failures: PullFailures::default(),
             watch_stalled: false,
+            connection_failed: false,
             store_restored: node.store_restored.subscribe(),
             failed_relays: node.failed_relays.subscribe(),
             retry_delay: INITIAL_RETRY_DELAY,
@@ -217,27 +226,30 @@
         max_lag: Option<Duration>,
     ) -> ReadOutcome {
         let now = Instant::now();
-        match self.usable_relay(node, now) {
-            Some(address) => self.pull_from_relay(node, address, revision, wait).await,
-            None if is_discovering_relay(node, now) => {
-                self.discover_relay(node, revision, wait).await
+        match self.choose_source(node, now) {
+            ReadFrom::Relay(address) => self.pull_from_relay(node, address, revision, wait).await,
+            _ if is_discovering_relay(node, now) => self.discover_relay(node, revision, wait).await,
+            ReadFrom::Wait(relay) if self.kind == Kind::Configuration => {
+                tokio::time::sleep(RELAY_RETRY_DELAY).await;
+                self.pull_from_relay(node, relay, revision, wait).await
             }
-            None if self.must_wait_for_store(node) => self.wait_for_store().await,
-            None => self.call_store(node, revision, wait, max_lag).await,
+            ReadFrom::Wait(_) => self.wait_for_store().await,
+            ReadFrom::Store if self.must_wait_for_store(node) => self.wait_for_store().await,
+            ReadFrom::Store => self.call_store(node, revision, wait, max_lag).await,
         }
     }
 
-    /// The first relay without a recent failure; `None` when this node should
-    /// read from the store itself.
-    fn usable_relay(&mut self, node: &Node, now: Instant) -> Option<SocketAddr> {
+    /// Decides from where to read next; see [`following::read_from`].
+    fn choose_source(&mut self, node: &Node, now: Instant) -> ReadFrom {
+        let store_unreachable = lock(&node.store_health).is_unreachable();
+        let relays = lock(&node.members).relays(store_unreachable, now);
+        lock(&node.relay_links).retain(|address, _| relays.contains(address));
         let failed = self.failed_relays.borrow_and_update();
         let failed_recently = |relay: &SocketAddr| {
             let at = failed.get(relay);
             at.is_some_and(|at| now < *at + RELAY_EXCLUSION_TIME)
         };
-        let relays = lock(&node.members).relays(now);
-        lock(&node.relay_links).retain(|address, _| relays.contains(address));
-        relays.into_iter().find(|relay| !failed_recently(relay))
+        following::read_from(&relays, failed_recently, store_unreachable)
     }
 
     /// Reads each kind once, and then only the list of VMs until a relay is
@@ -284,6 +296,8 @@
     async fn wait_for_store(&mut self) -> ReadOutcome {
         tokio::select! {
             _ = self.store_restored.changed() => {}
+            // A relay works again, or another one has failed.
+            _ = self.failed_relays.changed() => {}
             () = tokio::time::sleep(MAX_RETRY_DELAY) => {}
         }
         ReadOutcome::Retry
@@ -313,6 +327,8 @@
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 self.pull_failures.record_success();
+                node.failed_relays
+                    .send_if_modified(|failed| failed.shift_remove(&address).is_some());
                 ReadOutcome::Update(update)
             }
             Err(error) => {
@@ -387,8 +403,13 @@
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 record_success(node, self.kind);
+                let connection_failed = std::mem::take(&mut self.connection_failed);
                 if self.kind == Kind::Configuration {
                     record_store_revision(node, update.revision);
+                    if connection_failed {
+                        // Those of the other kinds may have failed with it.
+                        node.store_restored.send_replace(());
+                    }
                 }
                 // The configuration is not delayed: its age decides whether
                 // the store counts as lost.
@@ -398,6 +419,15 @@
                 }
                 ReadOutcome::Update(update)
             }
+            Err(error) if error.is_old_connection_failure() && !self.connection_failed => {
+                self.connection_failed = true;
+                log::info!(
+                    "event=store_connection_failed kind={} error={}",
+                    self.kind.as_str(),
+                    logfmt::value(&error)
+                );
+                ReadOutcome::Retry
+            }
             Err(error) => {
                 record_failure(node, self.kind, started_at, &error);
                 if error.is_history_gone() {
--- a/crates/filbertgrade/src/wire/peer.rs
+++ b/crates/filbertgrade/src/wire/peer.rs
@@ -1,12 +1,12 @@
 //! Format of the datagrams between VMs: heartbeats, token requests, and token
 //! responses.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use filbertgrade_coord::names::{NameError, RegionName, TeamName, VmName};
 use filbertgrade_coord::steering::affinity::Affinity;
-use filbertgrade_coord::steering::members::Heartbeat;
+use filbertgrade_coord::steering::members::{Heartbeat, RegionVms};
 use filbertgrade_coord::steering::quota::Grant;
 use prost::Message;
 
@@ -93,7 +93,8 @@
     /// The sender has just started and requests the affinities of all objects.
     #[prost(bool, tag = "8")]
     pub(crate) wants_affinities: bool,
-    /// How long the store has been available to the sender without an outage.
+    /// How long the store has been available to the sender without an outage;
+    /// 0 while it does not respond to the sender.
     #[prost(uint64, tag = "9")]
     pub(crate) store_uptime_ms: u64,
     /// Present when the datagram is a summary of the sender's region for the
@@ -102,16 +103,55 @@
     pub(crate) region_summary: Option<WireRegionSummary>,
 }
 
-/// The running VMs of a region.
+/// The VMs of a region; see [`RegionVms`].
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct WireRegionSummary {
     #[prost(string, tag = "1")]
     pub(crate) region: String,
+    /// Empty if `lists_exceptions` is set.
     #[prost(string, repeated, tag = "2")]
     pub(crate) ready: Vec<String>,
     /// VMs that run but cannot serve callers at present.
     #[prost(string, repeated, tag = "3")]
     pub(crate) not_ready: Vec<String>,
+    /// All VMs that the store lists are ready, except those that `not_ready` and
+    /// `not_running` name.
+    #[prost(bool, tag = "4")]
+    pub(crate) lists_exceptions: bool,
+    #[prost(string, repeated, tag = "5")]
+    pub(crate) not_running: Vec<String>,
+}
+
+impl WireRegionSummary {
+    pub(crate) fn new(region: &RegionName, vms: &RegionVms) -> Self {
+        let mut wire = Self {
+            region: region.as_str().to_owned(),
+            ..Self::default()
+        };
+        match vms {
+            RegionVms::Running(running) => {
+                for (vm, ready) in running {
+                    let names = if *ready {
+                        &mut wire.ready
+                    } else {
+                        &mut wire.not_ready
+                    };
+                    names.push(vm.as_str().to_owned());
+                }
+            }
+            RegionVms::AllExcept {
+                not_ready,
+                not_running,
+            } => {
+                let names =
+                    |vms: &HashSet<VmName>| vms.iter().map(|vm| vm.as_str().to_owned()).collect();
+                wire.lists_exceptions = true;
+                wire.not_ready = names(not_ready);
+                wire.not_running = names(not_running);
+            }
+        }
+        wire
+    }
 }
 
 /// The endpoint that handles an object; see [`Affinity`].
@@ -179,26 +219,34 @@
     pub(crate) region_summary: Option<RegionSummary>,
 }
 
-/// The running VMs of a region, and whether each is ready.
+/// The VMs of a region.
 #[derive(Debug)]
 pub(crate) struct RegionSummary {
     pub(crate) region: RegionName,
-    pub(crate) running: HashMap<VmName, bool>,
+    pub(crate) vms: RegionVms,
 }
 
 impl TryFrom<WireRegionSummary> for RegionSummary {
     type Error = NameError;
 
     fn try_from(wire: WireRegionSummary) -> Result<Self, NameError> {
-        let mut running = HashMap::new();
-        for (names, ready) in [(&wire.ready, true), (&wire.not_ready, false)] {
-            for name in names {
-                running.insert(VmName::try_from(name.as_str())?, ready);
+        let names = |names: &[String]| -> Result<HashSet<VmName>, NameError> {
+            names.iter().map(|n| VmName::try_from(n.as_str())).collect()
+        };
+        let not_ready = names(&wire.not_ready)?;
+        let vms = if wire.lists_exceptions {
+            RegionVms::AllExcept {
+                not_ready,
+                not_running: names(&wire.not_running)?,
             }
-        }
+        } else {
+            let ready = names(&wire.ready)?.into_iter().map(|vm| (vm, true));
+            let not_ready = not_ready.into_iter().map(|vm| (vm, false));
+            RegionVms::Running(ready.chain(not_ready).collect())
+        };
         Ok(Self {
             region: RegionName::try_from(wire.region.as_str())?,
-            running,
+            vms,
         })
     }
 }
@@ -213,6 +261,7 @@
                 incarnation: wire.incarnation,
                 ready: wire.ready,
                 leaving: wire.leaving,
+                store_unreachable: wire.store_uptime_ms == 0,
             },
             demand: wire.demand.map(decode_demand).transpose()?,
             affinities: wire.affinities.into_iter().map(Affinity::from).collect(),
--- a/crates/filbertgrade/tests/node/fleet.rs
+++ b/crates/filbertgrade/tests/node/fleet.rs
@@ -1,7 +1,9 @@
 //! Tests of several nodes in one region: how they discover each other, and how
 //! they receive the store's changes through relays.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
 
 use crate::cluster::{Node, TestCluster, eventually};
 use filbertgrade_standins::node::store::StoreFault;
@@ -70,6 +72,41 @@
     assert!(calls <= 8 * 2 + 40, "{calls} calls");
 }
 
+/// Guards against an outage of the store in which every node calls it again and
+/// again, and against nodes that accept keys late after it.
+#[rstest]
+#[case(StoreFault::Busy)]
+#[case(StoreFault::Unresponsive)]
+#[tokio::test]
+async fn few_nodes_call_a_store_that_does_not_respond(#[case] fault: StoreFault) {
+    let cluster = TestCluster::with_nodes(&[1], 8).await;
+    eventually("the lookup names all nodes", || async {
+        cluster.nodes[7].look_up().await.len() == 8
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.store.set_fault(fault);
+    // All nodes notice the outage.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let before = cluster.store.full_cost_calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let calls = cluster.store.full_cost_calls() - before;
+    // One node makes about two calls a second.
+    assert!(calls <= 10, "{calls} calls in 3 s");
+    cluster.store.set_fault(StoreFault::None);
+    let restored_at = Instant::now();
+    for node in &cluster.nodes {
+        eventually("the node accepts keys", || async {
+            let response = node.request("GET", "safe", "c1", Some(crate::cluster::KEY));
+            response.await.status == 200
+        })
+        .await;
+        let elapsed = restored_at.elapsed();
+        let late = format!("{} after {elapsed:?}:\n{}", node.name, node.log());
+        assert!(elapsed < Duration::from_millis(2_500), "{late}");
+    }
+}
+
 /// Guards against a request that is refused because it arrives before a new
 /// node has read the store for the first time.
 #[tokio::test]
