Call an unreachable store again at times, and read a current list of endpoints at the start

Now only two failed calls in a row make the store unreachable, and a node keeps calling it, the more rarely the larger its region is. They now list endpoints anew, one call a start.

--- a/crates/filbertgrade-coord/src/steering/members.rs
+++ b/crates/filbertgrade-coord/src/steering/members.rs
@@ -57,7 +57,7 @@
     /// The VM is about to stop.
     pub leaving: bool,
     /// The last calls of the VM to the store failed, or it has made none. A VM
-    /// that uses a relay makes none for long and does not know better.
+    /// that uses a relay makes none for long, so that this may be outdated.
     pub store_unreachable: bool,
 }
 
@@ -286,6 +286,14 @@
         }
     }
 
+    /// Number of running VMs of this region, including this one.
+    pub fn running_in_region(&self, now: Instant) -> usize {
+        let peers = self.peers.values();
+        let running =
+            peers.filter(|peer| peer.member.region == self.local.region && peer.is_running(now));
+        running.count() + 1
+    }
+
     /// The entry of this VM.
     pub fn local(&self) -> &Member {
         &self.local
--- a/crates/filbertgrade-coord/src/steering/store_health.rs
+++ b/crates/filbertgrade-coord/src/steering/store_health.rs
@@ -18,6 +18,8 @@
     last_success_at: Option<Instant>,
     /// The last outage that has ended.
     last_outage: Option<Outage>,
+    /// Failed calls for the configuration since the last successful one.
+    failed_probes: u32,
 }
 
 /// An outage of the store that has ended.
@@ -29,6 +31,11 @@
     pub ended_at: Instant,
 }
 
+/// Number of consecutive failed calls after which the store is considered
+/// unreachable. A single one may have met a moment in which the store drops its
+/// connections.
+const UNREACHABLE_AFTER_PROBES: u32 = 2;
+
 /// Shortest time of failing calls that is recorded as an outage of the store. A
 /// single lost response causes a shorter one.
 const MIN_OUTAGE: Duration = Duration::from_millis(400);
@@ -49,6 +56,7 @@
     /// ended, if there was one.
     pub fn record_success(&mut self, now: Instant) -> Option<Duration> {
         self.last_success_at = Some(now);
+        self.failed_probes = 0;
         let started_at = self.failing_since.take()?;
         let outage = now.saturating_duration_since(started_at);
         if outage < MIN_OUTAGE {
@@ -81,10 +89,16 @@
         self.failing_since.is_some()
     }
 
-    /// Reports whether the store did not respond to the last call, or no call
-    /// has succeeded yet.
+    /// Records that a call for the configuration failed. This kind is the one
+    /// that is called during an outage.
+    pub fn count_failed_probe(&mut self) {
+        self.failed_probes = self.failed_probes.saturating_add(1);
+    }
+
+    /// Reports whether the store does not respond to this VM: several calls have
+    /// failed since the last successful one, or none has succeeded yet.
     pub fn is_unreachable(&self) -> bool {
-        self.is_failing() || self.last_success_at.is_none()
+        self.failed_probes >= UNREACHABLE_AFTER_PROBES || self.last_success_at.is_none()
     }
 
     /// Returns the age of the newest confirmation, or `None` if there is none.
@@ -126,7 +140,7 @@
     /// reported to other VMs; zero while calls fail. `process_started` counts
     /// as the start if there was no outage.
     pub fn available_for(&self, process_started: Instant, now: Instant) -> Duration {
-        if self.is_unreachable() {
+        if self.is_failing() || self.last_success_at.is_none() {
             return Duration::ZERO;
         }
         let since = self
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -138,6 +138,7 @@
         number: node.next_heartbeat.fetch_add(1, Ordering::Relaxed),
         ready: heartbeat.ready,
         leaving: heartbeat.leaving,
+        store_unreachable: heartbeat.store_unreachable,
         store_uptime_ms: u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
         ..WireHeartbeat::default()
     }
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -74,8 +74,8 @@
 
 /// Time after the start until which requests wait for the first read of the
 /// store. The read takes some milliseconds, and longer when all nodes start at
-/// once or the list of endpoints has to be read again, as no relay confirms it.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// once.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Interval of the checks for expired connections, lapsed registrations, and
 /// VMs that no longer send heartbeats.
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -12,7 +12,7 @@
 use filbertgrade_coord::steering::deployment::Deployment;
 use filbertgrade_coord::steering::endpoint::Endpoint;
 use filbertgrade_coord::steering::following::{
-    self, AfterPullFailure, PullFailures, ReadFrom, StallDetector,
+    self, AfterPullFailure, ProbeDelay, PullFailures, ReadFrom, StallDetector,
 };
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::Limit;
@@ -184,6 +184,9 @@
     watch_stalled: bool,
     /// The last call to the store failed with a connection that had worked.
     connection_failed: bool,
+    probe_delay: ProbeDelay,
+    /// When this VM calls the store again although it did not respond.
+    next_probe_at: Instant,
     /// Notified when the store responds again after an outage.
     store_restored: watch::Receiver<()>,
     /// When pulls from relays last failed, for any kind.
@@ -212,6 +215,8 @@
             pull_failures: PullFailures::default(),
             watch_stalled: false,
             connection_failed: false,
+            probe_delay: ProbeDelay::default(),
+            next_probe_at: node.started,
             store_restored: node.store_restored.subscribe(),
             failed_relays: node.failed_relays.subscribe(),
             retry_delay: INITIAL_RETRY_DELAY,
@@ -249,15 +254,17 @@
             let at = failed.get(relay);
             at.is_some_and(|at| now < *at + RELAY_EXCLUSION_TIME)
         };
-        following::read_from(&relays, failed_recently, store_unreachable)
+        let probe_due = self.kind == Kind::Configuration && now >= self.next_probe_at;
+        following::read_from(&relays, failed_recently, store_unreachable, probe_due)
     }
 
     /// Reads each kind once, and then only the list of VMs until a relay is
     /// known.
     ///
-    /// Checking keys requires a configuration that the store has confirmed. The
-    /// other kinds are read with a stale list, which is cheaper and may be some
-    /// seconds old; the relay sends newer changes.
+    /// Checking keys requires a configuration that the store has confirmed, and an
+    /// endpoint on an old list may have left. The other kinds are read with a
+    /// stale list, which is cheaper and may be some seconds old; the relay sends
+    /// newer changes.
     async fn discover_relay(
         &mut self,
         node: &Node,
@@ -265,7 +272,7 @@
         wait: Duration,
     ) -> ReadOutcome {
         match (self.kind, revision) {
-            (Kind::Configuration, None) => {
+            (Kind::Configuration | Kind::Endpoints, None) => {
                 return self.call_store(node, revision, wait, None).await;
             }
             (_, None) => {}
@@ -402,6 +409,7 @@
         match result {
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
+                self.probe_delay.reset();
                 record_success(node, self.kind);
                 let connection_failed = std::mem::take(&mut self.connection_failed);
                 if self.kind == Kind::Configuration {
@@ -430,6 +438,9 @@
             }
             Err(error) => {
                 record_failure(node, self.kind, started_at, &error);
+                if self.kind == Kind::Configuration && !error.is_history_gone() {
+                    self.delay_next_probe(node);
+                }
                 if error.is_history_gone() {
                     ReadOutcome::HistoryGone
                 } else {
@@ -439,6 +450,16 @@
         }
     }
 
+    /// Counts a failed call for the configuration, and sets when the next one is
+    /// due if relays fail as well.
+    fn delay_next_probe(&mut self, node: &Node) {
+        lock(&node.store_health).count_failed_probe();
+        let now = Instant::now();
+        let vms = lock(&node.members).running_in_region(now);
+        let delay = self.probe_delay.next(vms, rand::rng().random());
+        self.next_probe_at = now + delay;
+    }
+
     /// Waits before the next call, longer after each consecutive failure.
     async fn back_off(&mut self) {
         let fraction = rand::rng().random_range(0.5..1.0);
@@ -773,9 +794,8 @@
 /// Passes the endpoints of the registry to the balancer, including those whose
 /// registration may still come back after an outage.
 ///
-/// A process that has just started reads a list that may be seconds old. An
-/// endpoint on it may have left since, so none is used before a relay or the
-/// store has confirmed the list.
+/// None is used before a relay or the store has confirmed the list, because an
+/// endpoint on a list that is seconds old may have left.
 pub(super) fn update_balancer_endpoints(node: &Node, now: Instant) {
     if !node.has_current_endpoints.load(Ordering::Acquire) {
         return;
--- a/crates/filbertgrade/src/wire/peer.rs
+++ b/crates/filbertgrade/src/wire/peer.rs
@@ -93,14 +93,16 @@
     /// The sender has just started and requests the affinities of all objects.
     #[prost(bool, tag = "8")]
     pub(crate) wants_affinities: bool,
-    /// How long the store has been available to the sender without an outage;
-    /// 0 while it does not respond to the sender.
+    /// How long the store has been available to the sender without an outage.
     #[prost(uint64, tag = "9")]
     pub(crate) store_uptime_ms: u64,
     /// Present when the datagram is a summary of the sender's region for the
     /// other regions. `demand` is then that of the whole region.
     #[prost(message, optional, tag = "10")]
     pub(crate) region_summary: Option<WireRegionSummary>,
+    /// See [`Heartbeat::store_unreachable`].
+    #[prost(bool, tag = "11")]
+    pub(crate) store_unreachable: bool,
 }
 
 /// The VMs of a region; see [`RegionVms`].
@@ -261,7 +263,7 @@
                 incarnation: wire.incarnation,
                 ready: wire.ready,
                 leaving: wire.leaving,
-                store_unreachable: wire.store_uptime_ms == 0,
+                store_unreachable: wire.store_unreachable,
             },
             demand: wire.demand.map(decode_demand).transpose()?,
             affinities: wire.affinities.into_iter().map(Affinity::from).collect(),
