Split the file that follows the store into reading, applying and the VM's own entry

store.rs had grown to over 1,000 lines with three jobs. No change of behaviour: functions moved as they were, with visibility and imports adjusted.

--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -15,10 +15,12 @@
 mod relay;
 mod request;
 mod responses;
+mod source;
 mod stop;
 mod store;
 mod suspension;
 mod tokens;
+mod vm_entries;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -10,7 +10,7 @@
 
 use super::callers::{self, LOOKUP_TTL};
 use super::heartbeat::BroadcastScope;
-use super::{Node, heartbeat, read_settings, store};
+use super::{Node, heartbeat, read_settings, vm_entries};
 use crate::logfmt;
 use crate::sync::lock;
 
@@ -66,7 +66,7 @@
     node.leaving.send_replace(true);
     lock(&node.quotas).mark_leaving();
     heartbeat::send_once(node, peers, BroadcastScope::Fleet).await;
-    tokio::spawn(store::delist(Arc::clone(node)));
+    tokio::spawn(vm_entries::delist(Arc::clone(node)));
 }
 
 /// Reloads the settings on a signal and when the file has changed. Invalid
