Require the request's id in refusals on used connections

Cause: a response without an id that says "not run" was accepted on any connection. A backend server that sends a second copy of a refusal late, on a connection in use again, then made an order run at two endpoints: 7 orders ran 10 times in late_copy_of_a_refusal_does_not_repeat_an_order before, and no order twice after.

--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -116,7 +116,9 @@
             let id = header(&head, "x-filbertgrade-request-id");
             match behavior {
                 EndpointBehavior::Refuses => {
-                    let response = "HTTP/1.1 503 Busy\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                    let response = format!(
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    );
                     stream.write_all(response.as_bytes()).await?;
                     continue;
                 }
@@ -129,9 +131,10 @@
                     continue;
                 }
                 EndpointBehavior::IsAnother => {
-                    stream
-                        .write_all(b"HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n")
-                        .await?;
+                    let response = format!(
+                        "HTTP/1.1 421 Other\r\nx-filbertgrade-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+                    );
+                    stream.write_all(response.as_bytes()).await?;
                     continue;
                 }
                 _ => {}
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -184,7 +184,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = ResponseHead::read(parts.status, &parts.headers);
-    if let Some(failure) = response_failure(&head, parts.status, call) {
+    if let Some(failure) = response_failure(&head, parts.status, call, reused) {
         drop(connection);
         return no_response(&mut attempt, call, failure, AttemptState::FullySent);
     }
@@ -384,11 +384,19 @@
 
 /// Checks that a response belongs to this request and, if it is a success, has
 /// the seal of a backend server. Returns the failure if it does not.
-fn response_failure(head: &ResponseHead, status: StatusCode, call: &Call) -> Option<Failure> {
+///
+/// On a connection that was used before, a refusal without the id of the request
+/// may be the late second copy of one to an earlier request. Taken for this
+/// request, it would let an order run at a second endpoint.
+fn response_failure(
+    head: &ResponseHead,
+    status: StatusCode,
+    call: &Call,
+    reused: bool,
+) -> Option<Failure> {
     let id_matches = match (&head.id, &call.head.id) {
         (Some(echoed), Some(sent)) => echoed == sent,
-        // Only refusals may omit the id of the request.
-        (None, Some(_)) => head.kind != ResponseKind::Run,
+        (None, Some(_)) => head.kind != ResponseKind::Run && !reused,
         (_, None) => true,
     };
     let seal_missing = status.is_success() && !head.has_seal;
--- a/crates/filbertgrade/tests/node/bad_bytes.rs
+++ b/crates/filbertgrade/tests/node/bad_bytes.rs
@@ -254,3 +254,64 @@
     })
     .await;
 }
+
+/// Guards against an order that runs at two endpoints, because the late second
+/// copy of a refusal without an id is taken for the response to it.
+#[tokio::test]
+async fn late_copy_of_a_refusal_does_not_repeat_an_order() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    cluster.configure(|spec| spec["tenants"][0]["rate-per-s"] = json!(0));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let spec = json!({"service": "charts", "address": listener.local_addr().unwrap().to_string(), "zone": "north-a",
+                      "version": "v1", "slots": 30, "state": "ready", "cold-remaining-s": 0, "seq-no": 1, "born": 5});
+    cluster.store.put("servers", "i-copies", spec);
+    let ran_here = Arc::new(AtomicUsize::new(0));
+    let ran = Arc::clone(&ran_here);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_with_copies(stream, Arc::clone(&ran)));
+        }
+    });
+    let version = format!("configuration_in_force version={} ", cluster.version());
+    cluster.nodes[0].line_with(&[&version]).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut sent = 0;
+    while ran_here.load(Ordering::SeqCst) < 6 && sent < 200 {
+        sent += 1;
+        let id = format!("c{sent}");
+        let head = cluster.nodes[0].request_head("POST", "order", &id, Some(KEY));
+        // A different object each time, so that both endpoints are used.
+        let head = head.replace("affinity-key: 17", &format!("affinity-key: {sent}"));
+        let mut stream = TcpStream::connect(cluster.nodes[0].callers).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        let _ = stream.read_to_end(&mut response).await;
+    }
+    let ran = ran_here.load(Ordering::SeqCst) + cluster.requests_run();
+    assert!(ran_here.load(Ordering::SeqCst) >= 6);
+    assert!(ran <= sent, "{sent} orders ran {ran} times");
+}
+
+/// Runs every request of a connection. Before the response to each but the
+/// first, sends a refusal without an id, as the second copy of an earlier one.
+async fn serve_with_copies(mut stream: TcpStream, ran: Arc<AtomicUsize>) -> std::io::Result<()> {
+    let mut buf = vec![0; 16 * 1024];
+    let mut is_first = true;
+    loop {
+        let n = stream.read(&mut buf).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        let head = String::from_utf8_lossy(&buf[..n]).to_lowercase();
+        let id = filbertgrade_standins::node::endpoint::header(&head, "x-filbertgrade-request-id");
+        ran.fetch_add(1, Ordering::SeqCst);
+        if !is_first {
+            let copy =
+                "HTTP/1.1 503 Busy\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(copy.as_bytes()).await?;
+        }
+        is_first = false;
+        let response = GOOD_HEAD.replace("ID", &id) + "content-length: 2\r\n\r\nok";
+        stream.write_all(response.as_bytes()).await?;
+    }
+}
