--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -9,7 +9,7 @@
 
 use crate::common::lock;
 
-/// Length of the body of a long refusal, which is more than a node buffers.
+/// Length of the body of a long refusal.
 const LONG_REFUSAL_BYTES: usize = 600_000;
 
 /// How an endpoint handles its requests. Each request runs, except with [`Self::Refuses`],
@@ -20,7 +20,7 @@
     Serves,
     /// Responds with status 503 and the header that confirms that the request did not run.
     Refuses,
-    /// Like [`Self::Refuses`], with a body of [`LONG_REFUSAL_BYTES`].
+    /// Like [`Self::Refuses`], with a body that is longer than a node buffers.
     RefusesAtLength,
     /// Closes the connection without a response.
     LosesAnswer,
