--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -50,6 +50,8 @@
     /// Time for which it works on each request.
     service_time: Duration,
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Requests a second that it names as its limit in each response.
+    rate_limit: Arc<Mutex<Option<f64>>>,
 }
 
 /// A run of a request at an endpoint.
@@ -75,6 +77,7 @@
             behavior: Arc::new(Mutex::new(EndpointBehavior::Serves)),
             service_time,
             runs: Arc::default(),
+            rate_limit: Arc::default(),
         };
         let serving = endpoint.clone();
         tokio::spawn(async move {
@@ -92,6 +95,19 @@
         *lock(&self.behavior) = behavior;
     }
 
+    /// Sets the limit in requests a second that it names in each response from now on.
+    /// It does not enforce the limit.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        *lock(&self.rate_limit) = per_second;
+    }
+
+    /// Returns the header line that names the limit; empty if there is none.
+    fn rate_limit_line(&self) -> String {
+        lock(&self.rate_limit).map_or(String::new(), |limit| {
+            format!("x-filbertgrade-server-limit: {limit}\r\n")
+        })
+    }
+
     /// Returns the request lines and headers of all runs so far, in lower case.
     pub fn run_heads(&self) -> Vec<String> {
         lock(&self.runs)
@@ -113,18 +129,19 @@
                 return Ok(());
             };
             let behavior = *lock(&self.behavior);
+            let limit = self.rate_limit_line();
             let id = header(&head, "x-filbertgrade-request-id");
             match behavior {
                 EndpointBehavior::Refuses => {
                     let response = format!(
-                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{limit}content-length: 0\r\n\r\n"
                     );
                     stream.write_all(response.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::RefusesAtLength => {
                     let head = format!(
-                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{limit}content-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
                     );
                     stream.write_all(head.as_bytes()).await?;
                     stream.write_all(&vec![b'x'; LONG_REFUSAL_BYTES]).await?;
@@ -142,6 +159,7 @@
             let at = Instant::now();
             lock(&self.runs).push(Run { head, at });
             tokio::time::sleep(self.service_time).await;
+            let limit = self.rate_limit_line();
             match behavior {
                 EndpointBehavior::LosesAnswer => return Ok(()),
                 EndpointBehavior::Silent => std::future::pending().await,
@@ -164,7 +182,7 @@
             };
             let body = format!("answer of {} to {response_id}", self.id);
             let response = format!(
-                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\n{limit}content-length: {}\r\n\r\n",
                 body.len()
             );
             stream.write_all(response.as_bytes()).await?;
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -319,7 +319,7 @@
 }
 
 /// Sends a request and reads the response until the connection is closed.
-async fn exchange(address: SocketAddr, head: &str) -> std::io::Result<TestResponse> {
+pub(crate) async fn exchange(address: SocketAddr, head: &str) -> std::io::Result<TestResponse> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(head.as_bytes()).await?;
     let mut bytes = Vec::new();
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod bad_bytes;
 mod cluster;
 mod configuration;
+mod endpoint_limits;
 mod explain;
 mod fleet;
 mod permissions;
