--- a/crates/filbertgrade-standins/src/node/store.rs
+++ b/crates/filbertgrade-standins/src/node/store.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -49,6 +49,8 @@
     log: Vec<(u64, String, Value, bool)>,
     /// Revision of the last change.
     revision: u64,
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     /// Last revision whose change was discarded from `log`. A watch from an earlier revision fails
     /// with status 410.
     discarded_revision: u64,
@@ -61,6 +63,14 @@
     stale: Option<(Objects, u64)>,
 }
 
+/// A copy of a store's objects and history.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    objects: Objects,
+    log: Vec<(u64, String, Value, bool)>,
+    revision: u64,
+}
+
 /// Revision and spec of each object, by kind and name.
 type Objects = BTreeMap<(String, String), (u64, Value)>;
 
@@ -84,7 +94,12 @@
                 let store = serving.clone();
                 let service = service_fn(move |req| {
                     let store = store.clone();
-                    async move { Ok::<_, Infallible>(store.handle(req).await) }
+                    async move {
+                        let mut response = store.handle(req).await;
+                        let era = HeaderValue::from(lock(&store.state).era);
+                        response.headers_mut().insert("store-era", era);
+                        Ok::<_, Infallible>(response)
+                    }
                 });
                 tokio::spawn(
                     hyper::server::conn::http1::Builder::new()
@@ -142,6 +157,28 @@
         state.log.clear();
     }
 
+    /// Copies the objects, the history and the revision.
+    pub fn back_up(&self) -> Backup {
+        let state = lock(&self.state);
+        Backup {
+            objects: state.objects.clone(),
+            log: state.log.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Restores a copy. All later changes are lost, their revisions are given out again, and the
+    /// era rises by one. Waiting watches from a later revision fail with status 410.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = lock(&self.state);
+        state.objects = backup.objects;
+        state.log = backup.log;
+        state.revision = backup.revision;
+        state.era += 1;
+        drop(state);
+        self.changed.send_replace(backup.revision);
+    }
+
     /// Never responds to the reads of a kind that are waiting now, as if their connections had gone
     /// silent. Later reads are not affected.
     pub fn hang_open_reads(&self, kind: &str) {
@@ -278,7 +315,7 @@
         loop {
             {
                 let state = lock(&self.state);
-                if after < state.discarded_revision {
+                if after < state.discarded_revision || after > state.revision {
                     return reply(StatusCode::GONE, &json!({}));
                 }
                 let newer = state
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -107,8 +107,13 @@
 
     /// Writes the registration of an endpoint to the store.
     pub(crate) fn register(&self, endpoint: &Endpoint, state: &str) {
+        self.register_as(endpoint, state, 1);
+    }
+
+    /// Writes the registration of an endpoint, which is its write number `number`.
+    pub(crate) fn register_as(&self, endpoint: &Endpoint, state: &str, number: u64) {
         let spec = json!({"service": "charts", "address": endpoint.address.to_string(), "zone": "north-a",
-                          "version": "v1", "slots": 3, "state": state, "cold-remaining-s": 0, "seq-no": 1, "born": 5});
+                          "version": "v1", "slots": 3, "state": state, "cold-remaining-s": 0, "seq-no": number, "born": 5});
         self.store.put("servers", &endpoint.id, spec);
     }
 
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -15,5 +15,6 @@
 mod permissions;
 mod requests;
 mod restart;
+mod restored;
 mod silence;
 mod stop;
