Use a VM that an old list names only after its heartbeat

Callers were sent to a VM that had stopped: after the store had come back from a copy that still listed it, lookups named it for 2.5 s, because a VM counts as running for that long after it is listed.

Cause: a VM that appears on the list was taken for one that has just started. An entry that was removed before, or that is first seen in a list of a restored store, may be an old one. Such a VM counts as running only after a heartbeat, which running VMs send within 0.5 s. Ruled out: that the entry's removal repairs it in time (it waits for 30 s without a heartbeat).

--- a/crates/filbertgrade-coord/src/steering/members.rs
+++ b/crates/filbertgrade-coord/src/steering/members.rs
@@ -18,6 +18,9 @@
 /// several heartbeat intervals, because single datagrams are lost.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Largest number of VMs that were removed from the list and are remembered.
+const MAX_DELISTED: usize = 1_000;
+
 /// Largest number of VMs in the response to a lookup.
 pub const MAX_LOOKUP_VMS: usize = 64;
 
@@ -94,6 +97,9 @@
     local: Member,
     /// The other VMs that the store lists.
     peers: HashMap<VmName, Peer>,
+    /// Incarnations of VMs that were removed from the list, the oldest first. An
+    /// old copy of the store may list them again.
+    delisted: IndexMap<VmName, u64>,
     /// Peer addresses of VMs of this region that were listed since the last call
     /// of [`Members::take_new_members`].
     new_members: Vec<SocketAddr>,
@@ -104,8 +110,9 @@
     member: Member,
     /// When its current entry was first seen in the list. It is considered
     /// running until [`HEARTBEAT_TIMEOUT`] has passed, because its first
-    /// heartbeat may still be on its way.
-    listed_at: Instant,
+    /// heartbeat may still be on its way. `None` if the entry may be an old one of
+    /// a VM that has stopped, so that only a heartbeat shows that the VM runs.
+    listed_at: Option<Instant>,
     /// The last heartbeat and when it was received; `None` before the first.
     last_heartbeat: Option<(Instant, Heartbeat)>,
 }
@@ -116,6 +123,7 @@
         Self {
             local,
             peers: HashMap::new(),
+            delisted: IndexMap::new(),
             new_members: Vec::new(),
         }
     }
@@ -124,6 +132,17 @@
     /// the list changed. An entry that differs from the previous one of the same
     /// VM is treated as a new VM.
     pub fn set_listed(&mut self, members: Vec<Member>, now: Instant) -> bool {
+        self.replace_listed(members, Some(now))
+    }
+
+    /// Like [`Members::set_listed`], for a list of a store that was restored from a
+    /// copy. VMs that this one does not know may have stopped long ago, so that only
+    /// a heartbeat shows that they run.
+    pub fn set_restored(&mut self, members: Vec<Member>) -> bool {
+        self.replace_listed(members, None)
+    }
+
+    fn replace_listed(&mut self, members: Vec<Member>, listed_at: Option<Instant>) -> bool {
         let mut old = std::mem::take(&mut self.peers);
         let mut changed = false;
         for member in members {
@@ -137,8 +156,9 @@
                     if member.region == self.local.region {
                         self.new_members.push(member.peer_address);
                     }
+                    let was_delisted = self.delisted.get(&member.vm) == Some(&member.incarnation);
                     Peer {
-                        listed_at: now,
+                        listed_at: listed_at.filter(|_| !was_delisted),
                         last_heartbeat: None,
                         member,
                     }
@@ -146,7 +166,20 @@
             };
             self.peers.insert(peer.member.vm.clone(), peer);
         }
-        changed || !old.is_empty()
+        changed |= !old.is_empty();
+        for peer in old.into_values() {
+            self.remember_delisted(peer.member);
+        }
+        changed
+    }
+
+    fn remember_delisted(&mut self, member: Member) {
+        // Removed first, so that it becomes the newest.
+        self.delisted.shift_remove(&member.vm);
+        self.delisted.insert(member.vm, member.incarnation);
+        if self.delisted.len() > MAX_DELISTED {
+            self.delisted.shift_remove_index(0);
+        }
     }
 
     /// Returns the peer addresses of the VMs of this region that were listed since
@@ -403,10 +436,12 @@
 
 impl Peer {
     /// Time since the last heartbeat, or since it was listed if none was
-    /// received.
+    /// received; the longest possible one if it must send one first.
     fn heartbeat_age(&self, now: Instant) -> Duration {
-        let last = self.last_heartbeat.map_or(self.listed_at, |(at, _)| at);
-        now.saturating_duration_since(last)
+        let heartbeat_at = self.last_heartbeat.map(|(at, _)| at);
+        heartbeat_at
+            .or(self.listed_at)
+            .map_or(Duration::MAX, |last| now.saturating_duration_since(last))
     }
 
     fn is_leaving(&self) -> bool {
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -472,7 +472,7 @@
         }
     }
 
-    fn put_in_force(&self, node: &Node) {
+    fn put_in_force(&self, node: &Node, is_restored: bool) {
         let now = Instant::now();
         let me = node.settings.load().vm.clone();
         let lost = self.lost.objects.values();
@@ -490,7 +490,12 @@
             }
         }
         lock(&node.quotas).set_vms(&peers, &regions);
-        if lock(&node.members).set_listed(members, now) {
+        let changed = if is_restored {
+            lock(&node.members).set_restored(members)
+        } else {
+            lock(&node.members).set_listed(members, now)
+        };
+        if changed {
             log::info!("event=vms_listed count={}", self.members.len());
         }
         let listed = self
@@ -522,7 +527,7 @@
         for object in &objects {
             self.add(object);
         }
-        self.put_in_force(node);
+        self.put_in_force(node, is_restored);
     }
 
     fn apply(&mut self, node: &Node, events: Vec<Event>, _revision: StoreRevision) {
@@ -535,12 +540,12 @@
                 }
             }
         }
-        self.put_in_force(node);
+        self.put_in_force(node, false);
     }
 
     fn confirm(&mut self, node: &Node, _at: Instant) {
         if self.lost.expire() {
-            self.put_in_force(node);
+            self.put_in_force(node, false);
         }
     }
 }
