Keep entries within the rate that a backend server names

A backend server in need that named a limit of 2 requests a second got 236 in 4 s from three entries, where 17 are allowed (backend_gets_the_rate_that_it_names, which failed before this commit with that figure).

The limit binds all VMs together, and the pair of entry and agent had neither a header for it nor a place where it is kept. The owner of the slot pool is that place: there is one for each service and region, and it already grants every permit. Entries report the rate with the release of a permit. Ruled out: a share for each entry, which either exceeds the limit or is of no use in a large fleet.

After: the test passes; the script rate shows the grants.

--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -6,8 +6,15 @@
 
 use indexmap::IndexMap;
 
+use crate::bucket::{RateShare, TokenBucket};
 use crate::names::{EndpointName, TeamName, VmName};
 
+/// Lowest rate of an endpoint in requests a second.
+pub const MIN_RATE: f64 = 0.1;
+
+/// Time in seconds for which unused tokens of a limited endpoint accumulate.
+const BURST_SECONDS: f64 = 0.5;
+
 /// The endpoints of one service in one region, the permits to run requests on
 /// them, and the requests that wait for a permit.
 ///
@@ -230,6 +237,9 @@
     /// Number of the latest permit on this endpoint. Among equally loaded
     /// endpoints, the one with the lowest number is chosen.
     last_permit: u64,
+    /// Tokens for the requests of an endpoint that limits their rate; `None` if it
+    /// does not.
+    rate: Option<TokenBucket>,
 }
 
 #[derive(Clone, Debug)]
@@ -284,6 +294,7 @@
                 draining: false,
                 in_use: 0,
                 last_permit: 0,
+                rate: None,
             })
             .slots = slots;
         self.serve(now)
@@ -307,6 +318,26 @@
         self.serve(now)
     }
 
+    /// Limits the requests to an endpoint that cannot keep up to `per_second`, or
+    /// ends the limit with `None`. A rate that is not finite and positive counts as
+    /// [`MIN_RATE`], because only a response shows that a limit has ended.
+    ///
+    /// In any 4 s the endpoint gets at most `4.5 * per_second + 1` new permits, so
+    /// that one and a half times its limit is not reached while an owner of the pool
+    /// replaces another one. Returns the grants to waiting requests that the change
+    /// makes possible.
+    pub fn set_rate(
+        &mut self,
+        now: Instant,
+        name: &EndpointName,
+        per_second: Option<f64>,
+    ) -> Vec<QueuedGrant> {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.set_rate(per_second, now);
+        }
+        self.serve(now)
+    }
+
     /// Removes an endpoint and its permits.
     ///
     /// With fewer open slots the local reserve is smaller, so requests from
@@ -461,7 +492,12 @@
             .values()
             .filter(|e| !e.draining && !self.queues.is_empty())
             .filter_map(|e| e.next_step_at(now, self.cfg.ramp_step));
-        leases.chain(deadlines).chain(ramps).min()
+        let tokens = self
+            .endpoints
+            .values()
+            .filter(|e| !e.draining && !self.queues.is_empty())
+            .filter_map(|e| e.next_token_at(now).filter(|at| *at > now));
+        leases.chain(deadlines).chain(ramps).chain(tokens).min()
     }
 
     /// A copy of the state at `now`.
@@ -590,6 +626,9 @@
         };
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.in_use += 1;
+            if let Some(rate) = &mut e.rate {
+                rate.try_take(now);
+            }
             e.last_permit = self.next_permit;
         }
         self.next_permit += 1;
@@ -618,6 +657,13 @@
         Some(ended)
     }
 
+    /// Requests a second that all endpoints accept together.
+    fn total_rate(&self) -> f64 {
+        let active = self.endpoints.values().filter(|e| !e.draining);
+        let rate = |e: &Endpoint| e.rate.as_ref().map_or(f64::INFINITY, |r| r.share().rate());
+        active.map(rate).sum()
+    }
+
     fn record_run_time(&mut self, ran: Duration) {
         // With a weight of 1/8 the average follows a change within about ten
         // requests.
@@ -648,6 +694,8 @@
             .sum();
         let run_time = self.run_time.unwrap_or(0.0);
         let wait = run_time * (own + others) as f64 / f64::from(slots.max(1));
+        // Slots are of no use while all endpoints limit their rate.
+        let wait = wait.max((own + others - 1) as f64 / self.total_rate());
         // Limits the result to a day, which is later than any deadline, so that
         // adding it to an `Instant` cannot overflow.
         Duration::from_secs_f64(wait.min(86_400.0))
@@ -663,11 +711,36 @@
         }
     }
 
-    /// Open slots without a permit.
+    /// Open slots without a permit, none while the rate is used up.
     fn free(&self, now: Instant, step: Duration) -> u32 {
+        if self.next_token_at(now).is_some_and(|at| at > now) {
+            return 0;
+        }
         self.open(now, step).saturating_sub(self.in_use)
     }
 
+    fn set_rate(&mut self, per_second: Option<f64>, now: Instant) {
+        let Some(rate) = per_second else {
+            self.rate = None;
+            return;
+        };
+        let rate = if rate.is_finite() {
+            rate.max(MIN_RATE)
+        } else {
+            MIN_RATE
+        };
+        let share = RateShare::new(rate, 1.0 + rate * BURST_SECONDS).unwrap_or(RateShare::ZERO);
+        self.rate
+            .get_or_insert_with(|| TokenBucket::new(share, now))
+            .set_share(share, now);
+    }
+
+    /// When a token is available; `None` if the rate is not limited.
+    fn next_token_at(&self, now: Instant) -> Option<Instant> {
+        let wait = self.rate.clone()?.time_until(1, now);
+        Some(now + wait.unwrap_or_default())
+    }
+
     /// When the ramp opens the next slot; `None` if all slots are open.
     fn next_step_at(&self, now: Instant, step: Duration) -> Option<Instant> {
         let since = self.cold_since?;
--- a/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
+++ b/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
@@ -244,6 +244,21 @@
 }
 
 impl EndpointRate {
+    /// Requests a second; `None` if there is no limit.
+    pub fn per_second(self) -> Option<f64> {
+        match self {
+            Self::Unlimited => None,
+            Self::PerSecond(rate) => Some(rate),
+        }
+    }
+
+    /// Reads a decimal number of requests a second; `None` if it is not a finite
+    /// number that is not negative.
+    pub fn parse(text: &str) -> Option<Self> {
+        let rate: f64 = text.trim().parse().ok()?;
+        (rate.is_finite() && rate >= 0.0).then_some(Self::PerSecond(rate))
+    }
+
     fn is_limited(self) -> bool {
         self != Self::Unlimited
     }
--- a/crates/filbertgrade-coord/tests/slots/main.rs
+++ b/crates/filbertgrade-coord/tests/slots/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the slot pool: scenario files and random sequences of operations.
 //!
 //! Script commands: `advance MS`, `endpoint NAME SLOTS [cold]`, `drain NAME`,
-//! `undrain NAME`, `restart-ramp NAME`,
+//! `undrain NAME`, `restart-ramp NAME`, `rate NAME [PER_SECOND]`,
 //! `acquire TEAM [local|remote] [DEADLINE_MS] [COUNT] [AVOIDED_ENDPOINT]`,
 //! `release PERMIT`, `renew PERMIT`, `adopt NAME`, `cancel TICKET`, `expire all`,
 //! `show all`.
@@ -111,6 +111,12 @@
                 let granted = self.pool.set_draining(now, &name, draining);
                 self.format_queued(&granted)
             }
+            "rate" => {
+                let per_second = args.next_pos().map(str::parse).transpose()?;
+                let name = EndpointName::try_from(first)?;
+                let granted = self.pool.set_rate(now, &name, per_second);
+                self.format_queued(&granted)
+            }
             "restart-ramp" => {
                 let granted = self.pool.restart_ramp(now, &EndpointName::try_from(first)?);
                 self.format_queued(&granted)
--- a/crates/filbertgrade-standins/src/backend.rs
+++ b/crates/filbertgrade-standins/src/backend.rs
@@ -338,6 +338,12 @@
         self.shared.state().load_lag = lag;
     }
 
+    /// Makes every response name this limit in requests a second. The backend server does not
+    /// enforce it.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        self.shared.state().rate_limit = per_second;
+    }
+
     /// Multiplies the service time of the next `requests` requests by
     /// [`cold_factor`](BackendConfig::cold_factor), as after a restart.
     pub fn make_cold(&self, requests: u64) {
@@ -372,6 +378,8 @@
     draining_since: Option<Instant>,
     health_override: Option<bool>,
     load_override: Option<f64>,
+    /// Requests a second that responses name as the limit.
+    rate_limit: Option<f64>,
     load_lag: Duration,
     response_delay: Duration,
     /// Responses still to be truncated.
@@ -396,6 +404,7 @@
             draining_since: None,
             health_override: None,
             load_override: None,
+            rate_limit: None,
             load_lag: Duration::ZERO,
             response_delay: Duration::ZERO,
             remaining_truncations: 0,
@@ -630,7 +639,11 @@
         _ => serve_request(&shared, &connection, req, arrived).await,
     };
     let load = shared.state().reported_load(shared.cfg.slots);
+    let rate_limit = shared.state().rate_limit;
     let headers = response.headers_mut();
+    if let Some(limit) = rate_limit {
+        headers.insert("x-rate-limit", header(&limit.to_string()));
+    }
     headers.insert("x-load", header(&format!("{load:.3}")));
     headers.insert("x-backend", header(&shared.cfg.name));
     Ok(response)
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::TeamName;
+use filbertgrade_coord::steering::endpoint_limit::EndpointRate;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
@@ -28,6 +29,10 @@
 /// data permanently while new connections work.
 const REUSED_CONNECTION_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Header in which a backend server names the requests a second that it accepts
+/// from all entries together.
+const RATE_LIMIT_HEADER: &str = "x-rate-limit";
+
 /// Longest time for reading the rest of an upload after its request was
 /// refused.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -325,7 +330,7 @@
     entry: &Arc<Entry>,
     call: &Call<'_>,
     view: &InForce,
-    slot: SlotGrant,
+    mut slot: SlotGrant,
     claim: Option<&mut Claim>,
 ) -> Result<Response<Body>, FailedAttempt> {
     let endpoint = slot.endpoint();
@@ -378,6 +383,9 @@
         Ok(started) => started.state(),
         Err(_) => return Err(not_sent(Failure::ConnectionLost { reused: true })),
     };
+    if let Some(rate) = endpoint_rate(&response) {
+        slot.record_rate(rate);
+    }
     if let Some(failure) = explicit_refusal(&response) {
         slot.release_with_fault(match failure {
             Failure::Draining => EndpointFault::Draining,
@@ -490,6 +498,15 @@
     }
 }
 
+/// Rate that a backend server names in its response; `None` if the header cannot be
+/// read.
+fn endpoint_rate(response: &Response<Incoming>) -> Option<EndpointRate> {
+    match response.headers().get(RATE_LIMIT_HEADER) {
+        None => Some(EndpointRate::Unlimited),
+        Some(value) => EndpointRate::parse(value.to_str().ok()?),
+    }
+}
+
 fn explicit_refusal(response: &Response<Incoming>) -> Option<Failure> {
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
         return None;
--- a/crates/filbertgrade/src/process/entry/slots/fallback.rs
+++ b/crates/filbertgrade/src/process/entry/slots/fallback.rs
@@ -1,9 +1,11 @@
 //! Local fallback: chooses an endpoint using only what this VM knows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use filbertgrade_coord::steering::endpoint_limit::EndpointRate;
+
 use crate::sync::lock;
 use rand::seq::IndexedRandom;
 
@@ -11,6 +13,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Fallback {
     running: Mutex<HashMap<SocketAddr, u32>>,
+    /// Endpoints that named a limit of their rate when they last responded. Only the
+    /// owner of their slot pool can keep all entries within it.
+    limited: Mutex<HashSet<SocketAddr>>,
 }
 
 impl Fallback {
@@ -18,12 +23,27 @@
     /// endpoints with their number of slots.
     pub(super) fn choose(&self, usable: &[(SocketAddr, u32)]) -> Option<SocketAddr> {
         let running = lock(&self.running);
+        let limited = lock(&self.limited);
+        let usable: Vec<_> = usable
+            .iter()
+            .filter(|(address, _)| !limited.contains(address))
+            .collect();
         usable
             .choose_multiple(&mut rand::rng(), 2)
             .min_by(|a, b| load(&running, a).total_cmp(&load(&running, b)))
             .map(|(address, _)| *address)
     }
 
+    /// Records the rate that an endpoint named in its response.
+    pub(super) fn record_rate(&self, endpoint: SocketAddr, rate: EndpointRate) {
+        let mut limited = lock(&self.limited);
+        if rate == EndpointRate::Unlimited {
+            limited.remove(&endpoint);
+        } else {
+            limited.insert(endpoint);
+        }
+    }
+
     /// Counts a request that starts on `endpoint`.
     pub(super) fn record_start(&self, endpoint: SocketAddr) {
         let mut running = lock(&self.running);
--- a/crates/filbertgrade/src/process/entry/slots/grant.rs
+++ b/crates/filbertgrade/src/process/entry/slots/grant.rs
@@ -7,6 +7,7 @@
 
 use filbertgrade_coord::names::VmName;
 use filbertgrade_coord::slots::PermitId;
+use filbertgrade_coord::steering::endpoint_limit::EndpointRate;
 use tokio::task::JoinHandle;
 
 use super::{PoolId, Slots};
@@ -29,7 +30,16 @@
     slots: Slots,
     endpoint: SocketAddr,
     pooled: Option<PooledSlot>,
-    fault: Option<EndpointFault>,
+    report: SlotReport,
+}
+
+/// What a request showed of its endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct SlotReport {
+    /// Why the endpoint did not run the request, if it did not.
+    pub(super) fault: Option<EndpointFault>,
+    /// The rate that it named in its response; `None` without a response.
+    pub(super) rate: Option<EndpointRate>,
 }
 
 /// Why an endpoint did not run a request that had been assigned one of its
@@ -90,7 +100,7 @@
             slots,
             endpoint,
             pooled,
-            fault: None,
+            report: SlotReport::default(),
         }
     }
 
@@ -99,9 +109,16 @@
         self.endpoint
     }
 
+    /// Records the rate that the endpoint named in its response. The slot pool
+    /// learns of it when the slot is freed.
+    pub(crate) fn record_rate(&mut self, rate: EndpointRate) {
+        self.report.rate = Some(rate);
+        self.slots.shared.fallback.record_rate(self.endpoint, rate);
+    }
+
     /// Frees the slot and reports the fault of the endpoint to the slot pool.
     pub(crate) fn release_with_fault(mut self, fault: EndpointFault) {
-        self.fault = Some(fault);
+        self.report.fault = Some(fault);
     }
 }
 
@@ -111,18 +128,18 @@
         if let Some(pooled) = self.pooled.take() {
             pooled.renewal.abort();
             let held = lock(&pooled.permit).clone();
-            release(&self.slots, &pooled.id, &held, self.fault);
+            release(&self.slots, &pooled.id, &held, self.report);
         }
     }
 }
 
 /// Frees a slot in its pool. If the release message is lost, the slot stays
 /// occupied until the permit's lease expires.
-pub(super) fn release(slots: &Slots, id: &PoolId, held: &HeldPermit, fault: Option<EndpointFault>) {
+pub(super) fn release(slots: &Slots, id: &PoolId, held: &HeldPermit, report: SlotReport) {
     let shared = &slots.shared;
     if held.owner == shared.settings.vm {
         if let Some(pool) = shared.pools().get_mut(id) {
-            pool.release(Instant::now(), held.permit, fault);
+            pool.release(Instant::now(), held.permit, report);
         }
         return;
     }
@@ -133,7 +150,9 @@
         service: id.service.to_string(),
         region: id.region.to_string(),
         permit: Some(held.permit.into()),
-        fault: wire::EndpointFault::from(fault).into(),
+        fault: wire::EndpointFault::from(report.fault).into(),
+        responded: report.rate.is_some(),
+        rate: report.rate.and_then(EndpointRate::per_second),
     };
     tokio::spawn(async move {
         let _ = link.notify(Body::ReleaseSlot(release)).await;
@@ -187,6 +206,18 @@
     }
 }
 
+impl From<&wire::ReleaseSlot> for SlotReport {
+    fn from(message: &wire::ReleaseSlot) -> Self {
+        let rate = message
+            .rate
+            .map_or(EndpointRate::Unlimited, EndpointRate::PerSecond);
+        Self {
+            fault: message.fault().into(),
+            rate: message.responded.then_some(rate),
+        }
+    }
+}
+
 impl From<Option<EndpointFault>> for wire::EndpointFault {
     fn from(fault: Option<EndpointFault>) -> Self {
         match fault {
--- a/crates/filbertgrade/src/process/entry/slots/mod.rs
+++ b/crates/filbertgrade/src/process/entry/slots/mod.rs
@@ -21,8 +21,8 @@
 use tokio::sync::oneshot;
 
 use self::fallback::Fallback;
-use self::grant::HeldPermit;
 pub(crate) use self::grant::{EndpointFault, SlotGrant};
+use self::grant::{HeldPermit, SlotReport};
 use self::pool::{OwnedPool, PoolReply};
 use super::links::PeerLinks;
 use super::spill::SpillLimits;
@@ -256,7 +256,7 @@
         };
         let id = PoolId { service, region };
         if let (Some(pool), Some(permit)) = (self.shared.pools().get_mut(&id), message.permit) {
-            pool.release(Instant::now(), permit.into(), message.fault().into());
+            pool.release(Instant::now(), permit.into(), message.into());
         }
     }
 
--- a/crates/filbertgrade/src/process/entry/slots/pool.rs
+++ b/crates/filbertgrade/src/process/entry/slots/pool.rs
@@ -11,7 +11,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::{EndpointFault, PoolId};
+use super::{EndpointFault, PoolId, SlotReport};
 use crate::platform::Revision;
 use crate::version::InForce;
 use crate::wire;
@@ -119,13 +119,17 @@
         }
     }
 
-    /// Ends a permit. If a fault is given, its endpoint gets less work or none
-    /// for a while.
-    pub(super) fn release(&mut self, now: Instant, permit: PermitId, fault: Option<EndpointFault>) {
-        if let Some(fault) = fault
-            && let Some(endpoint) = self.pool.endpoint_of(permit).cloned()
-        {
-            self.record_fault(now, &endpoint, fault);
+    /// Ends a permit. If a fault is reported, its endpoint gets less work or none
+    /// for a while, and if the endpoint named a rate, no more than that.
+    pub(super) fn release(&mut self, now: Instant, permit: PermitId, report: SlotReport) {
+        if let Some(endpoint) = self.pool.endpoint_of(permit).cloned() {
+            if let Some(rate) = report.rate {
+                let granted = self.pool.set_rate(now, &endpoint, rate.per_second());
+                self.deliver(now, granted);
+            }
+            if let Some(fault) = report.fault {
+                self.record_fault(now, &endpoint, fault);
+            }
         }
         let granted = self.pool.release(now, permit);
         self.deliver(now, granted);
--- a/crates/filbertgrade/src/process/node/dump.rs
+++ b/crates/filbertgrade/src/process/node/dump.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use filbertgrade_coord::names::VmName;
-use filbertgrade_coord::steering::endpoint_limit::EndpointRate;
 use serde_json::{Value, json};
 
 use super::Node;
@@ -79,10 +78,7 @@
                 "slowness": estimate.slowness,
                 "resting": estimate.ejected,
                 "cold": estimate.cold,
-                "rate_limit": match estimate.rate {
-                    EndpointRate::Unlimited => None,
-                    EndpointRate::PerSecond(rate) => Some(rate),
-                },
+                "rate_limit": estimate.rate.per_second(),
             })
         })
         .collect()
--- a/crates/filbertgrade/src/wire/mod.rs
+++ b/crates/filbertgrade/src/wire/mod.rs
@@ -491,6 +491,13 @@
     /// Why the endpoint did not run the request, if it did not.
     #[prost(enumeration = "EndpointFault", tag = "4")]
     pub fault: i32,
+    /// The endpoint responded, so that `rate` is known.
+    #[prost(bool, tag = "5")]
+    pub responded: bool,
+    /// Requests a second that the endpoint named as its limit; absent if it named
+    /// none.
+    #[prost(double, optional, tag = "6")]
+    pub rate: Option<f64>,
 }
 
 /// Why an endpoint did not run a request for which a slot was granted.
--- a/crates/filbertgrade/src/wire/peer.rs
+++ b/crates/filbertgrade/src/wire/peer.rs
@@ -223,10 +223,7 @@
         Self {
             endpoint: notice.endpoint.id.to_string(),
             started_ms: notice.endpoint.started_ms,
-            rate: match notice.rate {
-                EndpointRate::Unlimited => None,
-                EndpointRate::PerSecond(rate) => Some(rate),
-            },
+            rate: notice.rate.per_second(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -13,6 +13,7 @@
 mod bad_input;
 mod bad_responses;
 mod decisions;
+mod endpoint_rate;
 mod graceful_stop;
 mod http2;
 mod pool;
