Order the revisions of the entry and agent pair by the store's era

A key that was created after the store had come back from an older copy was refused by entries for more than 8 s, the time within which a change must be in force (key_created_after_a_restore_is_accepted_by_all_entries, which failed before this commit: vm-1 is not ready).

Cause: as in the node, revisions were compared as if they only rose, in the agents' copies, in the pulls between them and in the feed of the entries. The client of the store now puts the era into the highest 16 bits of a revision, so that all of these order revisions over restores without a change. A watch that is answered in another era lists again, and a write under a condition of an earlier era is refused as a conflict, because its number may have been given out again. Ruled out: taking a list with a lower revision for a restore, because a lagging replica looks the same.

--- a/crates/filbertgrade-standins/src/platform.rs
+++ b/crates/filbertgrade-standins/src/platform.rs
@@ -26,7 +26,7 @@
 
 use bytes::Bytes;
 use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -143,6 +143,21 @@
             .collect()
     }
 
+    /// Copies the objects, the history and the revision.
+    #[must_use]
+    pub fn back_up(&self) -> PlatformBackup {
+        PlatformBackup(lock(&self.shared.store).clone())
+    }
+
+    /// Restores a copy. All later changes are lost, their revisions are given out again, and the
+    /// era in the header `store-era` rises by one. A watch after a revision that the copy does not
+    /// have receives 410.
+    pub fn restore(&self, backup: PlatformBackup) {
+        *lock(&self.shared.store) = backup.0;
+        self.shared.era.fetch_add(1, Ordering::SeqCst);
+        self.shared.notify_watches();
+    }
+
     /// Returns the current revision of the store.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -264,6 +279,8 @@
     /// Wakes the waiting watches after each change of the store or of the read lag.
     changed: watch::Sender<()>,
     counters: Counters,
+    /// Number of times that the store was restored from a copy.
+    era: AtomicU64,
 }
 
 impl Default for Shared {
@@ -276,6 +293,7 @@
             unresponsive: AtomicBool::new(false),
             changed: watch::Sender::new(()),
             counters: Counters::default(),
+            era: AtomicU64::new(0),
         }
     }
 }
@@ -325,7 +343,11 @@
     waiting: AtomicU64,
 }
 
-#[derive(Debug)]
+/// A copy of the platform's objects and history.
+#[derive(Clone, Debug)]
+pub struct PlatformBackup(Store);
+
+#[derive(Clone, Debug)]
 struct Store {
     revision: u64,
     /// Revisions and values of each object in ascending order; `None` is a deletion.
@@ -505,7 +527,15 @@
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>, mut stopped: watch::Receiver<()>) {
     let mut down = shared.down.subscribe();
-    let service = service_fn(|req| handle(Arc::clone(&shared), req));
+    let service = service_fn(|req| {
+        let shared = Arc::clone(&shared);
+        async move {
+            let mut response = handle(Arc::clone(&shared), req).await?;
+            let era = HeaderValue::from(shared.era.load(Ordering::SeqCst));
+            response.headers_mut().insert("store-era", era);
+            Ok::<_, ResponseDropped>(response)
+        }
+    });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service);
@@ -646,7 +676,7 @@
         let revisions_behind = shared.revisions_behind();
         let response = {
             let store = lock(&shared.store);
-            if after < store.oldest_revision {
+            if after < store.oldest_revision || after > store.revision {
                 return empty_response(StatusCode::GONE);
             }
             let revision = store.readable_revision(revisions_behind);
--- a/crates/filbertgrade/src/platform/http.rs
+++ b/crates/filbertgrade/src/platform/http.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 
+use super::era::{self, Era, NewestEra};
 use super::{Changes, Condition, Object, Platform, PlatformError, Revision};
 
 /// Timeout of one call, in addition to the wait of a watch.
@@ -35,6 +36,7 @@
 pub struct HttpPlatform {
     address: SocketAddr,
     local: Option<IpAddr>,
+    newest_era: NewestEra,
 }
 
 impl HttpPlatform {
@@ -42,7 +44,11 @@
     /// `local`, or from one that the operating system selects.
     #[must_use]
     pub fn new(address: SocketAddr, local: Option<IpAddr>) -> Self {
-        Self { address, local }
+        Self {
+            address,
+            local,
+            newest_era: NewestEra::default(),
+        }
     }
 
     /// Performs one call and counts it in the metrics. `name` is used in errors.
@@ -55,6 +61,13 @@
     ) -> Result<Response<Bytes>, PlatformError> {
         metrics::counter!("platform_calls_total", "kind" => kind.as_str()).increment(1);
         let response = self.exchange(name, kind, req, timeout).await;
+        if let Some(era) = response
+            .as_ref()
+            .ok()
+            .and_then(|r| Era::of_response(r.headers()))
+        {
+            self.newest_era.record(era);
+        }
         if response.is_err() {
             metrics::counter!("platform_calls_unanswered_total", "kind" => kind.as_str())
                 .increment(1);
@@ -172,10 +185,14 @@
             if std::str::from_utf8(&value).is_err() {
                 return Err(PlatformError::not_utf8(name));
             }
+            if matches!(condition, Condition::At(at) if self.newest_era.is_past(at)) {
+                // The store may have given its number to another change.
+                return Err(PlatformError::conflict(name, None));
+            }
             let req = self.request(Method::PUT, &object_target(name));
             let req = match condition {
                 Condition::Absent => req.header(IF_NONE_MATCH, "*"),
-                Condition::At(revision) => req.header(IF_MATCH, revision.to_string()),
+                Condition::At(revision) => req.header(IF_MATCH, era::number(revision).to_string()),
                 Condition::Always => req,
             };
             let req = req
@@ -201,9 +218,12 @@
         at: Revision,
     ) -> BoxFuture<'a, Result<Revision, PlatformError>> {
         async move {
+            if self.newest_era.is_past(at) {
+                return Err(PlatformError::conflict(name, None));
+            }
             let req = self
                 .request(Method::DELETE, &object_target(name))
-                .header(IF_MATCH, at.to_string())
+                .header(IF_MATCH, era::number(at).to_string())
                 .body(Full::default())
                 .map_err(|e| PlatformError::not_sent(name, &e))?;
             let response = self.call(name, CallKind::Delete, req, CALL_TIMEOUT).await?;
@@ -232,7 +252,7 @@
                 .call(&target, CallKind::List, req, CALL_TIMEOUT)
                 .await?;
             match response.status() {
-                StatusCode::OK => decode_changes(&target, response.body()),
+                StatusCode::OK => decode_changes(&target, &response),
                 status => Err(PlatformError::refused(&target, status.as_u16())),
             }
         }
@@ -247,8 +267,9 @@
     ) -> BoxFuture<'a, Result<Changes, PlatformError>> {
         async move {
             let target = format!(
-                "/v1/watch?{}&after={after}&wait_ms={}",
+                "/v1/watch?{}&after={}&wait_ms={}",
                 prefix_query(prefixes),
+                era::number(after),
                 wait.as_millis()
             );
             let req = self
@@ -259,7 +280,11 @@
                 .call(&target, CallKind::Watch, req, wait + CALL_TIMEOUT)
                 .await?;
             match response.status() {
-                StatusCode::OK => decode_changes(&target, response.body()),
+                // Changes of one history cannot follow a revision of another one.
+                StatusCode::OK if Era::of_response(response.headers()) != Some(Era::of(after)) => {
+                    Err(PlatformError::history_gone(&target))
+                }
+                StatusCode::OK => decode_changes(&target, &response),
                 StatusCode::GONE => Err(PlatformError::history_gone(&target)),
                 status => Err(PlatformError::refused(&target, status.as_u16())),
             }
@@ -283,38 +308,39 @@
     value: Option<String>,
 }
 
-impl From<WireChanges> for Changes {
-    fn from(wire: WireChanges) -> Self {
-        Self {
-            revision: wire.revision,
-            objects: wire.changes.into_iter().map(Object::from).collect(),
-        }
-    }
-}
-
-impl From<WireObject> for Object {
-    fn from(wire: WireObject) -> Self {
-        Self {
-            name: wire.name,
-            revision: wire.revision,
-            value: wire.value.map(Bytes::from),
-        }
+impl WireChanges {
+    /// Decodes a response of the era; `None` if a revision is too large.
+    fn changes(self, era: Era) -> Option<Changes> {
+        let objects = self.changes.into_iter().map(|object| {
+            Some(Object {
+                name: object.name,
+                revision: era.revision(object.revision)?,
+                value: object.value.map(Bytes::from),
+            })
+        });
+        Some(Changes {
+            revision: era.revision(self.revision)?,
+            objects: objects.collect::<Option<_>>()?,
+        })
     }
 }
 
-fn decode_changes(name: &str, body: &Bytes) -> Result<Changes, PlatformError> {
-    serde_json::from_slice::<WireChanges>(body)
-        .map(Changes::from)
-        .map_err(|e| PlatformError::malformed_response(name, &e))
+fn decode_changes(name: &str, response: &Response<Bytes>) -> Result<Changes, PlatformError> {
+    let malformed =
+        |reason: &dyn std::fmt::Display| PlatformError::malformed_response(name, reason);
+    let wire: WireChanges =
+        serde_json::from_slice(response.body()).map_err(|error| malformed(&error))?;
+    Era::of_response(response.headers())
+        .and_then(|era| wire.changes(era))
+        .ok_or_else(|| malformed(&"a revision or the era is out of range"))
 }
 
 /// Reads the revision from the `ETag` header of a response.
 fn etag_revision(name: &str, response: &Response<Bytes>) -> Result<Revision, PlatformError> {
-    response
-        .headers()
-        .get(ETAG)
-        .and_then(|etag| etag.to_str().ok())
+    let etag = response.headers().get(ETAG);
+    etag.and_then(|etag| etag.to_str().ok())
         .and_then(|etag| etag.trim_matches('"').parse().ok())
+        .and_then(|number| Era::of_response(response.headers())?.revision(number))
         .ok_or_else(|| PlatformError::malformed_response(name, &"no revision in the etag header"))
 }
 
--- a/crates/filbertgrade/src/platform/mod.rs
+++ b/crates/filbertgrade/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Interface to the platform's object store: the [`Platform`] trait, its client
 //! over HTTP and its errors.
 
+mod era;
 mod http;
 
 use std::fmt::Debug;
@@ -12,6 +13,10 @@
 pub use http::HttpPlatform;
 
 /// Position in the history of the store. Every write increases it.
+///
+/// A store that is restored from a copy gives out the numbers of later changes
+/// again, and its era rises. The highest 16 bits are the era and the others the
+/// store's number, so that revisions are ordered over restores; see [`era`].
 pub type Revision = u64;
 
 /// Prefixes of the names of the objects that every agent holds.
--- a/crates/filbertgrade/tests/path/main.rs
+++ b/crates/filbertgrade/tests/path/main.rs
@@ -18,5 +18,6 @@
 mod http2;
 mod pool;
 mod random_faults;
+mod restored_store;
 mod scenario;
 mod streaming;
