Stop sending a limit to other regions after it has ended

Each response of an endpoint that had once named a limit renewed the notice that it names none any more, so the VM that follows the store sent it to all VMs of the other regions every 0.5 s for good. Only a limit that is named, or one that ended within 2.5 s, is sent now. The last check of limit_ends_when_the_endpoint_no_longer_names_it failed before.

--- a/crates/filbertgrade-coord/src/steering/balancer/limits.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/limits.rs
@@ -93,13 +93,16 @@
         notices.collect()
     }
 
-    /// Returns the rates that were named recently, to be sent to other regions.
+    /// Returns the limits that were named or have ended recently, to be sent to other
+    /// regions.
     pub fn recent_rates(&self, now: Instant) -> Vec<RateNotice> {
         let states = self.services.values();
         let states = states.flat_map(|service| service.endpoints.values());
         let notices = states.filter_map(|state| {
             let limit = state.limit.as_ref()?;
-            (limit.age(now) <= RECENT).then(|| limit.notice(&state.endpoint.key))
+            limit
+                .is_recent(RECENT, now)
+                .then(|| limit.notice(&state.endpoint.key))
         });
         notices.collect()
     }
--- a/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
+++ b/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
@@ -82,6 +82,8 @@
 pub(super) struct EndpointLimit {
     rate: EndpointRate,
     observed_at: Instant,
+    /// When a response named a rate that differs from the one before.
+    changed_at: Instant,
     /// When the rate was last sent to other VMs or received from one.
     shared_at: Option<Instant>,
     /// The VM that grants tokens.
@@ -115,6 +117,7 @@
         let mut limit = Self {
             rate: EndpointRate::Unlimited,
             observed_at: notice.observed_at,
+            changed_at: notice.observed_at,
             shared_at: None,
             holder: holder.vm.clone(),
             tokens: None,
@@ -141,9 +144,14 @@
         }
     }
 
-    /// Age of the newest response that named the rate.
-    pub(super) fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.observed_at)
+    /// Whether a limit was named, or has ended, within `time`.
+    pub(super) fn is_recent(&self, time: Duration, now: Instant) -> bool {
+        let since = if self.is_limited() {
+            self.observed_at
+        } else {
+            self.changed_at
+        };
+        now.saturating_duration_since(since) <= time
     }
 
     /// Applies a notice unless a newer one is known. Returns true if the rate has
@@ -154,6 +162,9 @@
         }
         self.observed_at = notice.observed_at;
         let changed = is_relevant_change(self.rate, notice.rate);
+        if changed {
+            self.changed_at = notice.observed_at;
+        }
         self.rate = notice.rate;
         self.update_share(now);
         changed
--- a/crates/filbertgrade-coord/tests/steering/endpoint_limits.rs
+++ b/crates/filbertgrade-coord/tests/steering/endpoint_limits.rs
@@ -344,7 +344,7 @@
 }
 
 /// Guards against a limit that stays in force after the endpoint has stopped to
-/// name it.
+/// name it, or that VMs go on sending to each other.
 #[test]
 fn limit_ends_when_the_endpoint_no_longer_names_it() {
     let mut fleet = Fleet::new(10, 20, 1);
@@ -356,4 +356,7 @@
     let arrivals = fleet.arrivals.len() - before;
     // An even share of 20 s, as the end is noticed within 10 s.
     assert!(arrivals >= 50, "{arrivals} requests in 30 s");
+    let now = fleet.now;
+    let mut vms = fleet.vms.iter();
+    assert!(vms.all(|vm| vm.balancer.recent_rates(now).is_empty()));
 }
--- a/crates/filbertgrade/src/platform/mod.rs
+++ b/crates/filbertgrade/src/platform/mod.rs
@@ -16,7 +16,7 @@
 ///
 /// A store that is restored from a copy gives out the numbers of later changes
 /// again, and its era rises. The highest 16 bits are the era and the others the
-/// store's number, so that revisions are ordered over restores; see [`era`].
+/// store's number, so that revisions are ordered over restores.
 pub type Revision = u64;
 
 /// Prefixes of the names of the objects that every agent holds.
