Use the last token that was granted, and keep the cause of a refusal

A request that got a token only with its third request for one ignored it, and went to another endpoint or was refused; and a refusal for a withdrawn key after such requests said busy. Found when the change was read again; both need three requests for tokens in a row, for which there is no test.

--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -385,9 +385,17 @@
             }
         }
     }
-    match try_pick(node, call, upload, progress, LimitedEndpoints::Avoid) {
+    let limited = granted
+        .as_ref()
+        .map_or(LimitedEndpoints::Avoid, LimitedEndpoints::Granted);
+    match try_pick(node, call, upload, progress, limited) {
         Ok(Picked::Endpoint(target, body)) => Ok((target, body)),
-        _ => Err(Refused::retry_later(Cause::Busy, LIMITED_RETRY_DELAY)),
+        // There are endpoints, but all of them are over their limits.
+        Ok(Picked::NeedsToken(_)) => Err(Refused::retry_later(Cause::Busy, LIMITED_RETRY_DELAY)),
+        Err(refused) if refused.refusal.cause() == Cause::NoEndpoint => {
+            Err(Refused::retry_later(Cause::Busy, LIMITED_RETRY_DELAY))
+        }
+        Err(refused) => Err(refused),
     }
 }
 
