--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -249,7 +249,7 @@
         let overflows = preferred.is_limited() && !preferred.is_available(now);
         let spill = spill_config(&self.cfg);
         let time_left = request.time_left.as_secs_f64() * TIME_LEFT_USED;
-        let mut sets_affinity = true;
+        let mut sets_affinity = !spills && !overflows;
         let candidate = candidate.and_then(|candidate| {
             let service = self.services.get_mut(request.service)?;
             if !spills && !overflows {
