Name the history of the product's own object API in its own words

The header that the entry and agent pair reads had the name that the users' platform gives it, which belongs into platform/. No change of behaviour.

--- a/crates/filbertgrade-coord/src/slots.rs
+++ b/crates/filbertgrade-coord/src/slots.rs
@@ -694,7 +694,7 @@
             .sum();
         let run_time = self.run_time.unwrap_or(0.0);
         let wait = run_time * (own + others) as f64 / f64::from(slots.max(1));
-        // Slots are of no use while all endpoints limit their rate.
+        // Free slots do not shorten the wait while all endpoints limit their rate.
         let wait = wait.max((own + others - 1) as f64 / self.total_rate());
         // Limits the result to a day, which is later than any deadline, so that
         // adding it to an `Instant` cannot overflow.
--- a/crates/filbertgrade-standins/src/platform.rs
+++ b/crates/filbertgrade-standins/src/platform.rs
@@ -150,7 +150,7 @@
     }
 
     /// Restores a copy. All later changes are lost, their revisions are given out again, and the
-    /// era in the header `store-era` rises by one. A watch after a revision that the copy does not
+    /// era in the header `x-store-history` rises by one. A watch after a revision that the copy does not
     /// have receives 410.
     pub fn restore(&self, backup: PlatformBackup) {
         *lock(&self.shared.store) = backup.0;
@@ -532,7 +532,7 @@
         async move {
             let mut response = handle(Arc::clone(&shared), req).await?;
             let era = HeaderValue::from(shared.era.load(Ordering::SeqCst));
-            response.headers_mut().insert("store-era", era);
+            response.headers_mut().insert("x-store-history", era);
             Ok::<_, ResponseDropped>(response)
         }
     });
--- a/crates/filbertgrade/src/platform/era.rs
+++ b/crates/filbertgrade/src/platform/era.rs
@@ -9,7 +9,7 @@
 
 /// Header of every response: rises by one when the store is restored from a copy.
 /// A store without it has never been restored.
-const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+const STORE_HISTORY: HeaderName = HeaderName::from_static("x-store-history");
 
 /// Number of low bits of a revision that hold the store's number.
 const NUMBER_BITS: u32 = 48;
@@ -21,7 +21,7 @@
 impl Era {
     /// Reads the era of a response; `None` if it does not fit into a revision.
     pub(super) fn of_response(headers: &HeaderMap) -> Option<Self> {
-        let Some(value) = headers.get(STORE_ERA) else {
+        let Some(value) = headers.get(STORE_HISTORY) else {
             return Some(Self(0));
         };
         let era: u64 = value.to_str().ok()?.trim().parse().ok()?;
