--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -18,6 +18,10 @@
 const CLAIM_PORT: u16 = 8380;
 
 const KEY: &str = "tnfzs989anu6wsjnbanf";
+/// Key that is withdrawn.
+const OLD_KEY: &str = "bz2kq84mvo1xw7dyr5te";
+/// `revoke-s` of the settings.
+const REVOKE_S: f64 = 5.0;
 /// `drain-s` of the settings.
 const DRAIN_S: f64 = 2.5;
 /// `recovery-s` of the settings.
@@ -41,6 +45,7 @@
         "drain" => drain(&record, &temp, trouble),
         "restart" => restart(&record, &temp, trouble),
         "memory" => memory(&record, &temp, trouble),
+        "withdrawn-key" => withdrawn_key(&record, &temp, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     let code = result.unwrap_or_else(|error| {
@@ -129,15 +134,19 @@
     }
 
     fn start_callers(&self, record: &Record) -> Callers {
+        self.start_callers_with(record, KEY)
+    }
+
+    fn start_callers_with(&self, record: &Record, key: &str) -> Callers {
         let callers = Callers::new(record);
         let pause = Duration::from_millis(100);
         for node in &self.nodes {
             let front = node.front();
             for n in 0..2 {
                 let name = format!("chart-{}-{n}", node.name);
-                callers.start(&name, &front, "GET", "/chart/7", KEY, pause);
+                callers.start(&name, &front, "GET", "/chart/7", key, pause);
                 let name = format!("order-{}-{n}", node.name);
-                callers.start(&name, &front, "POST", "/order/7", KEY, pause);
+                callers.start(&name, &front, "POST", "/order/7", key, pause);
             }
         }
         callers
@@ -155,6 +164,12 @@
 /// The configuration of this version, with `more` routes beside the two that
 /// requests use.
 fn configuration_with(version: u32, more: u32) -> String {
+    let tenant = format!("{{\"name\":\"atelier\",\"api-keys\":[\"{KEY}\"],\"rate-per-s\":0,\"burst\":0}}");
+    configuration_of(version, more, &tenant)
+}
+
+/// The configuration with these tenants.
+fn configuration_of(version: u32, more: u32, tenants: &str) -> String {
     let route = |name: &str, kind: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"shop.example\",\"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\
@@ -169,7 +184,7 @@
         "{{\"version\":\"r{version}\",\"routes\":[{},{}{added}],\
          \"services\":[{{\"name\":\"desk\",\"health-path\":\"/health\",\"max-conns\":330,\"cold-start-s\":3.0,\"cold-per-s\":3.7}}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":1000000,\"header-timeout-s\":3,\"idle-timeout-s\":15}},\
-         \"tenants\":[{{\"name\":\"atelier\",\"api-keys\":[\"{KEY}\"],\"rate-per-s\":0,\"burst\":0}}]}}",
+         \"tenants\":[{tenants}]}}",
         route("chart", "safe"),
         route("order", "unsafe")
     )
@@ -347,3 +362,44 @@
     let often = ends.iter().filter(|n| **n >= 3).count();
     Ok(if often >= 2 { BROKEN } else { HELD })
 }
+
+/// CONFIG: a request runs that was sent later than `revoke-s` after the
+/// acknowledgement of a configuration that took its key away.
+fn withdrawn_key(record: &Record, dir: &PathBuf, trouble: bool) -> std::io::Result<i32> {
+    let tenant = |name: &str, keys: &str| {
+        format!("{{\"name\":\"{name}\",\"api-keys\":[{keys}],\"rate-per-s\":0,\"burst\":0}}")
+    };
+    let both_keys = format!("\"{KEY}\",\"{OLD_KEY}\"");
+    let new_key = format!("\"{KEY}\"");
+    let deployment = Deployment::start(record, dir, 3)?;
+    let config = configuration_of(6, 0, &tenant("atelier", &both_keys));
+    deployment.store.put("config", "main", &config);
+    std::thread::sleep(Duration::from_secs(1));
+    let callers = deployment.start_callers_with(record, OLD_KEY);
+    let start = record.now();
+    sleep_until(record, start + 4.0);
+    let served_before = callers.sent().iter().filter(|s| s.status == 200).count();
+    // The new tenant's name has an underscore, or a hyphen without the trouble.
+    let name = if trouble { "atelier_lyon" } else { "atelier-lyon" };
+    let tenants = format!("{},{}", tenant("atelier", &new_key), tenant(name, ""));
+    deployment.store.put("config", "main", &configuration_of(9, 0, &tenants));
+    let acked = record.now();
+    record.add(format!(
+        "store acknowledges version r9, which takes a key of atelier away and adds the tenant {name}"
+    ));
+    sleep_until(record, acked + REVOKE_S + 8.0);
+    callers.stop();
+    sleep_until(record, record.now() + 5.0);
+    let sent = callers.sent();
+    let late = sent.iter().filter(|s| s.at > acked + REVOKE_S);
+    let run = late.clone().filter(|s| s.status == 200 && s.has_seal).count();
+    record.add(format!(
+        "requests with the key served before {served_before}; sent later than {REVOKE_S} s after it was taken away {}, \
+         of which {run} ran",
+        late.count()
+    ));
+    if served_before == 0 {
+        return Ok(CANNOT_RUN);
+    }
+    Ok(if run > 0 { BROKEN } else { HELD })
+}
