--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -57,7 +57,8 @@
         HELD => "the rule HELD",
         _ => "the case COULD NOT RUN",
     });
-    if let Err(error) = record.write(&dir.join("record.txt")) {
+    let written = std::fs::create_dir_all(dir).and_then(|()| record.write(&dir.join("record.txt")));
+    if let Err(error) = written {
         eprintln!("cannot write the record: {error}");
         return CANNOT_RUN;
     }
