--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -11,6 +11,9 @@
 
 #[derive(Clone, Debug)]
 pub struct Sent {
+    pub id: String,
+    /// The connection had served a request before.
+    pub on_kept: bool,
     /// Seconds since the start of the case.
     pub at: f64,
     /// Status of the answer; 0 if the connection ended without one.
@@ -51,11 +54,12 @@
                     "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: {id}\r\n\
                      x-filbertgrade-affinity-key: {}\r\nx-filbertgrade-deadline-ms: 4000\r\n\
                      authorization: Bearer {key}\r\ncontent-length: {}\r\n\r\n{body}",
-                    number % 24,
+                    object(&name, number),
                     body.len()
                 );
                 let at = callers.record.now();
                 callers.record.add(format!("caller sends {id} to {node}"));
+                let on_kept = connection.is_some();
                 let answer = exchange(&mut connection, &node, &head);
                 let (status, has_seal) = answer.unwrap_or((0, false));
                 if status == 0 {
@@ -65,6 +69,8 @@
                     .record
                     .add(format!("caller gets {status} for {id}, seal {has_seal}"));
                 callers.sent.lock().unwrap().push(Sent {
+                    id,
+                    on_kept,
                     at,
                     status,
                     has_seal,
@@ -83,6 +89,12 @@
     }
 }
 
+/// One of 24 objects, spread evenly over callers and requests.
+fn object(name: &str, number: u32) -> u32 {
+    let sum: u32 = name.bytes().map(u32::from).sum();
+    (sum * 5 + number * 7) % 24
+}
+
 fn exchange(
     connection: &mut Option<(TcpStream, Reader)>,
     node: &str,
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,406 +1,427 @@
-//! The cases. Each checks one rule as the users' pages state it.
+//! The cases. Each starts a small deployment, sends requests while one thing
+//! happens, and checks the rule on what callers and backend servers saw.
 
-use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use crate::caller::Callers;
-use crate::endpoint::{Endpoint, Run};
+use crate::endpoint::Endpoint;
 use crate::node::Node;
 use crate::record::Record;
 use crate::store::Store;
 
-const BROKEN: i32 = 1;
 const HELD: i32 = 0;
-const CANNOT_RUN: i32 = 2;
-
-/// Port that a run holds in its network.
-const CLAIM_PORT: u16 = 8380;
+const BROKEN: i32 = 1;
+const COULD_NOT_RUN: i32 = 2;
 
-const KEY: &str = "tnfzs989anu6wsjnbanf";
-/// Key that is withdrawn.
-const OLD_KEY: &str = "bz2kq84mvo1xw7dyr5te";
-/// `revoke-s` of the settings.
-const REVOKE_S: f64 = 5.0;
 /// `drain-s` of the settings.
 const DRAIN_S: f64 = 2.5;
+
+/// `stable-window-s` of the settings.
+const STABLE_WINDOW_S: f64 = 4.0;
+
+/// How long after its call a write without an answer is executed; the pages name 1
+/// to 6 s.
+const LATE_WRITE: Duration = Duration::from_millis(5_950);
+
+/// `memory-mb` of the settings, in bytes.
+const MEMORY_BYTES: u64 = 260_000_000;
+
+/// Routes that the configuration has grown by.
+const MORE_ROUTES: usize = 1_400;
+
+/// Versions in one storm of configurations, and the time between two of them.
+const STORM_VERSIONS: u32 = 12;
+const STORM_GAP: Duration = Duration::from_millis(330);
+
+/// When the last storm has ended, in seconds.
+const STORMS_END_S: f64 = 100.0;
+
 /// `recovery-s` of the settings.
 const RECOVERY_S: f64 = 15.0;
 
-/// `memory-mb` of the settings of small machines (160 to 512 MB on the sheet).
-const MEMORY_MB: u64 = 160;
-/// Routes that `big_config` adds in the site file of the large deployment.
-const MORE_ROUTES: u32 = 1_400;
-/// Length of a `config_storm` and time between its changes, as in the site files.
-const STORM_S: f64 = 4.0;
-const STORM_GAP_S: f64 = 0.33;
-/// Time between two of them.
-const STORM_PAUSE_S: f64 = 1.0;
+/// Time for all nodes to become ready.
+const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// Runs a case and writes its record.
 pub fn run(case: &str, dir: &Path, trouble: bool) -> i32 {
     let record = Record::new();
-    let temp = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
-    let result = std::fs::create_dir_all(&temp).and_then(|()| match case {
-        "drain" => drain(&record, &temp, trouble),
-        "restart" => restart(&record, &temp, trouble),
-        "memory" => memory(&record, &temp, trouble),
-        "withdrawn-key" => withdrawn_key(&record, &temp, trouble),
+    let settings = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
+    if std::fs::create_dir_all(&settings).is_err() {
+        return COULD_NOT_RUN;
+    }
+    let scene = Scene {
+        record: record.clone(),
+        settings: settings.clone(),
+        trouble,
+        entry: match case {
+            "huge-number-entry" => Entry::HugeNumber,
+            "nested-entry" => Entry::Nested,
+            "cold-entry" => Entry::ColdForEver,
+            _ => Entry::Unreadable,
+        },
+    };
+    let result = match case {
+        "unreadable-entry" | "huge-number-entry" | "nested-entry" | "cold-entry" => {
+            scene.foreign_entry()
+        }
+        "unreadable-entry-restart" => scene.restart_with_foreign_entry(),
+        "memory" => scene.configuration_changes(),
+        "late-write" => scene.late_write(),
         _ => Err(std::io::Error::other("no such case")),
-    });
-    let code = result.unwrap_or_else(|error| {
+    };
+    let status = result.unwrap_or_else(|error| {
         record.add(format!("the case could not run: {error}"));
-        CANNOT_RUN
+        COULD_NOT_RUN
     });
-    record.add(match code {
-        BROKEN => "the rule is BROKEN",
-        HELD => "the rule HELD",
-        _ => "the case COULD NOT RUN",
-    });
-    let written = std::fs::create_dir_all(dir).and_then(|()| record.write(&dir.join("record.txt")));
-    if let Err(error) = written {
-        eprintln!("cannot write the record: {error}");
-        return CANNOT_RUN;
+    record.add(format!("exit status {status}"));
+    if record.write(&dir.join("record.txt")).is_err() {
+        return COULD_NOT_RUN;
     }
-    let _ = std::fs::remove_dir_all(&temp);
-    code
-}
-
-fn sleep_until(record: &Record, at: f64) {
-    let left = at - record.now();
-    if left > 0.0 {
-        std::thread::sleep(Duration::from_secs_f64(left));
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&settings);
     }
+    status
 }
 
-/// A small deployment: a store, four endpoints of one service, and nodes.
-struct Deployment {
-    store: Store,
-    endpoints: Vec<Endpoint>,
-    nodes: Vec<Node>,
-    /// Held while the case runs.
-    _claim: TcpListener,
+struct Scene {
+    record: Record,
+    settings: PathBuf,
+    trouble: bool,
+    entry: Entry,
 }
 
-/// Finds a network 127.0.N.0/24 for the addresses of this run, so that runs do not
-/// meet. It is taken as long as the listener is open.
-fn claim_network() -> std::io::Result<(u8, TcpListener)> {
-    let first = std::process::id() % 100;
-    for n in 0..100 {
-        let net = 100 + ((first + n) % 100) as u8;
-        if let Ok(claim) = TcpListener::bind((Ipv4Addr::new(127, 0, net, 1), CLAIM_PORT)) {
-            return Ok((net, claim));
-        }
-    }
-    Err(std::io::Error::other("no free network"))
+/// What another writer left in the store.
+enum Entry {
+    /// Bytes that are no text.
+    Unreadable,
+    /// A number beyond the range of doubles.
+    HugeNumber,
+    /// A list of lists where a name is due.
+    Nested,
+    /// The largest signed number as the time for which it is cold.
+    ColdForEver,
 }
 
-impl Deployment {
-    fn start(record: &Record, dir: &PathBuf, nodes: u8) -> std::io::Result<Self> {
-        let (net, claim) = claim_network()?;
-        let store = Store::start(&format!("127.0.{net}.1:0"))?;
-        store.put("config", "main", &configuration());
-        let mut endpoints = Vec::new();
-        for n in 0..4 {
-            endpoints.push(Endpoint::start(
-                &format!("i-{n}"),
-                "desk",
-                &format!("127.0.{net}.{}:0", 50 + n),
-                Duration::from_millis(200),
-                &store,
-                record,
-            )?);
-        }
-        let mut deployment = Self {
-            store,
-            endpoints,
-            nodes: Vec::new(),
-            _claim: claim,
-        };
-        for n in 1..=nodes {
-            let mut node = Node::new(n, net, deployment.store.address, dir, record)?;
-            node.start()?;
-            deployment.nodes.push(node);
-        }
-        for node in &mut deployment.nodes {
-            if !node.wait_ready(Duration::from_secs(8)) {
-                return Err(std::io::Error::other(format!("{} is not ready", node.name)));
-            }
-            if !node.runs() {
-                return Err(std::io::Error::other(format!("{} has ended", node.name)));
-            }
-        }
-        record.add("all nodes are ready");
-        Ok(deployment)
-    }
-
-    fn start_callers(&self, record: &Record) -> Callers {
-        self.start_callers_with(record, KEY)
-    }
-
-    fn start_callers_with(&self, record: &Record, key: &str) -> Callers {
-        let callers = Callers::new(record);
-        let pause = Duration::from_millis(100);
-        for node in &self.nodes {
-            let front = node.front();
-            for n in 0..2 {
-                let name = format!("chart-{}-{n}", node.name);
-                callers.start(&name, &front, "GET", "/chart/7", key, pause);
-                let name = format!("order-{}-{n}", node.name);
-                callers.start(&name, &front, "POST", "/order/7", key, pause);
-            }
-        }
-        callers
-    }
-
-    fn runs(&self) -> Vec<Run> {
-        self.endpoints.iter().flat_map(Endpoint::runs).collect()
-    }
-}
-
-fn configuration() -> String {
-    configuration_with(3, 0)
+/// Third number of loopback addresses that no other run uses.
+fn free_net() -> u8 {
+    let first = std::process::id();
+    let nets = (0..200).map(|n| 20 + ((first + n) % 200) as u8);
+    nets.into_iter()
+        .find(|net| std::net::TcpListener::bind(format!("127.0.{net}.1:8382")).is_ok())
+        .unwrap_or(20)
 }
 
-/// The configuration of this version, with `more` routes beside the two that
-/// requests use.
-fn configuration_with(version: u32, more: u32) -> String {
-    let tenant = format!("{{\"name\":\"atelier\",\"api-keys\":[\"{KEY}\"],\"rate-per-s\":0,\"burst\":0}}");
-    configuration_of(version, more, &tenant)
+fn sleep_until(record: &Record, seconds: f64) {
+    let left = seconds - record.now();
+    if left > 0.0 {
+        std::thread::sleep(Duration::from_secs_f64(left));
+    }
 }
 
-/// The configuration with these tenants.
-fn configuration_of(version: u32, more: u32, tenants: &str) -> String {
-    let route = |name: &str, kind: &str| {
+/// A configuration with one service for each kind of request.
+fn configuration(version: u32) -> String {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"shop.example\",\"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\
-             \"timeout-s\":3,\"target-latency-s\":0.6,\"priority\":1,\"service\":\"desk\",\"max-attempts\":2,\
-             \"public\":false,\"sticky\":true,\"home-regions\":[]}}"
+             \"timeout-s\":4,\"target-latency-s\":0.8,\"priority\":1,\"service\":\"{service}\",\"max-attempts\":{attempts}}}"
+        )
+    };
+    let service = |name: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"health-path\":\"/health\",\"max-conns\":330,\"cold-start-s\":3,\"cold-per-s\":3.7}}"
         )
     };
-    let added: String = (0..more)
-        .map(|n| format!(",{}", route(&format!("rack-{n}"), "safe")))
-        .collect();
     format!(
-        "{{\"version\":\"r{version}\",\"routes\":[{},{}{added}],\
-         \"services\":[{{\"name\":\"desk\",\"health-path\":\"/health\",\"max-conns\":330,\"cold-start-s\":3.0,\"cold-per-s\":3.7}}],\
-         \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":1000000,\"header-timeout-s\":3,\"idle-timeout-s\":15}},\
-         \"tenants\":[{tenants}]}}",
-        route("chart", "safe"),
-        route("order", "unsafe")
+        "{{\"version\":\"r{version}\",\"routes\":[{},{}],\"services\":[{},{}],\
+         \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":1048576,\"header-timeout-s\":3,\"idle-timeout-s\":15}},\
+         \"tenants\":[{{\"name\":\"atelier\",\"api-keys\":[\"key-of-atelier\"],\"rate-per-s\":2000,\"burst\":500}}]}}",
+        route("charts", "safe", "maatboek", 2),
+        route("orders", "unsafe", "snijbank", 2),
+        service("maatboek"),
+        service("snijbank"),
     )
 }
 
-/// An entry of kind `servers` by another writer, with a text that cannot be read:
-/// an escape for half of a pair of code units, which is what a writer of JSON makes
-/// of a byte that is not UTF-8.
-fn write_unreadable_entry(store: &Store, record: &Record) {
-    let spec = r#"{"service":"desk","address":"\udcff\udcfe","zone":"z-a","state":"ready","slots":1}"#;
-    store.put("servers", "x-other-writer", spec);
-    record.add(format!("another writer writes servers/x-other-writer: {spec}"));
-}
+impl Scene {
+    fn nodes(&self, net: u8, count: u8, store: &Store) -> std::io::Result<Vec<Node>> {
+        let mut nodes = Vec::new();
+        for index in 1..=count {
+            let mut node = Node::new(index, net, store.address, &self.settings, &self.record)?;
+            node.start()?;
+            nodes.push(node);
+        }
+        for node in &nodes {
+            if !node.wait_ready(START_LIMIT) {
+                return Err(std::io::Error::other(format!("{} is not ready", node.name)));
+            }
+        }
+        self.record.add("all nodes are ready");
+        Ok(nodes)
+    }
 
-/// DRAIN: a request reaches an endpoint later than `drain-s` after the store
-/// acknowledged that it is draining.
-fn drain(record: &Record, dir: &PathBuf, trouble: bool) -> std::io::Result<i32> {
-    let mut deployment = Deployment::start(record, dir, 3)?;
-    let callers = deployment.start_callers(record);
-    let start = record.now();
-    sleep_until(record, start + 5.0);
-    if trouble {
-        write_unreadable_entry(&deployment.store, record);
+    /// Writes the entry of another writer, unless the trouble is left out.
+    fn write_foreign_entry(&self, store: &Store, net: u8) {
+        if !self.trouble {
+            return;
+        }
+        let entry = match self.entry {
+            // A number beyond what a double can hold.
+            Entry::HugeNumber => "{\"service\":\"snijbank\",\"zone\":\"z-a\",\"slots\":1e999}".to_owned(),
+            // A list where a name is due, in lists of its own.
+            Entry::Nested => format!("{{\"service\":{}{}}}", "[".repeat(130), "]".repeat(130)),
+            Entry::ColdForEver => format!(
+                "{{\"service\":\"snijbank\",\"address\":\"127.0.{net}.201:8500\",\"zone\":\"z-a\",\
+                 \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold-remaining-s\":9223372036854775807,\"seq-no\":1,\"born\":5}}"
+            ),
+            // The bytes 0xff 0xfe, as JSON writers escape bytes that are no UTF-8.
+            Entry::Unreadable => "{\"service\":\"snijbank\",\"zone\":\"z-a\",\"version\":\"\\udcff\\udcfe\"}".to_owned(),
+        };
+        store.put("servers", "left-by-another-writer", &entry);
+        self.record.add(format!("the store accepts the entry of another writer: {entry}"));
     }
-    sleep_until(record, start + 11.0);
-    let leaving = deployment.endpoints[0].clone();
-    let acked = leaving.drain();
-    sleep_until(record, acked + DRAIN_S + 3.0);
-    leaving.end();
-    sleep_until(record, acked + DRAIN_S + 8.0);
-    callers.stop();
-    sleep_until(record, record.now() + 5.0);
-    let late: Vec<Run> = leaving
-        .runs()
-        .into_iter()
-        .filter(|run| run.at > acked + DRAIN_S)
-        .collect();
-    for run in &late {
-        let after = run.at - acked;
+
+    /// As [`Scene::foreign_entry`], but all nodes are killed and start again.
+    fn restart_with_foreign_entry(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        store.put("config", "main", &configuration(3));
+        let mut endpoints = Vec::new();
+        for n in 1..=4 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            let work = Duration::from_millis(300);
+            endpoints.push(Endpoint::start(&format!("i-{n}"), "snijbank", &address, work, &store, record)?);
+        }
+        let mut nodes = self.nodes(net, 3, &store)?;
+        let started = record.now();
+        let callers = Callers::new(record);
+        for n in 0..12 {
+            let pause = Duration::from_millis(200);
+            let node = nodes[n % 3].front();
+            callers.start(&format!("c{n}"), &node, "POST", "/orders/new", "key-of-atelier", pause);
+        }
+        sleep_until(record, started + 5.0);
+        self.write_foreign_entry(&store, net);
+        sleep_until(record, started + 8.0);
+        let killed_at = record.now();
+        for node in &mut nodes {
+            node.kill();
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        for node in &mut nodes {
+            node.start()?;
+        }
+        let back_at = record.now();
+        sleep_until(record, back_at + RECOVERY_S + 8.0);
+        callers.stop();
+        std::thread::sleep(Duration::from_secs(1));
+        let share = |from: f64, to: f64| {
+            let sent = callers.sent();
+            let sent: Vec<_> = sent.iter().filter(|s| s.at >= from && s.at < to).collect();
+            let served = sent.iter().filter(|s| s.has_seal && s.status == 200).count();
+            (served, sent.len())
+        };
+        let (served, sent) = share(started, killed_at);
+        let (served_after, sent_after) = share(back_at + RECOVERY_S, f64::MAX);
+        let ready = nodes.iter().filter(|node| node.is_ready()).count();
         record.add(format!(
-            "{} ran at {} {after:.2} s after the acknowledgement; answered: {}",
-            run.id, run.endpoint, run.answered
+            "before the kill {served} of {sent} requests were served; later than {RECOVERY_S} s after the \
+             nodes were back {served_after} of {sent_after}; {ready} of 3 nodes are ready"
         ));
+        drop(nodes);
+        let was_served = served * 4 >= sent;
+        Ok(if was_served && served_after * 4 < sent_after { BROKEN } else { HELD })
     }
-    let sent = callers.sent();
-    let served = sent.iter().filter(|s| s.status == 200 && s.has_seal).count();
-    let cut_orders = leaving
-        .runs()
-        .iter()
-        .filter(|run| run.id.starts_with("order") && !run.answered)
-        .count();
-    record.add(format!(
-        "requests sent {}, served {served}; runs {}; runs at the leaving endpoint later than {DRAIN_S} s after its \
-         acknowledgement {}; orders that ran there and were cut by its exit {cut_orders}",
-        sent.len(),
-        deployment.runs().len(),
-        late.len()
-    ));
-    if deployment.nodes.iter_mut().any(|node| !node.runs()) {
-        record.add("a node has ended by itself");
-    }
-    if served == 0 {
-        return Ok(CANNOT_RUN);
-    }
-    Ok(if late.is_empty() { HELD } else { BROKEN })
-}
 
-/// RECOVER: less than a quarter of the requests is served that are sent later than
-/// `recovery-s` after the machines are back.
-fn restart(record: &Record, dir: &PathBuf, trouble: bool) -> std::io::Result<i32> {
-    let mut deployment = Deployment::start(record, dir, 3)?;
-    let callers = deployment.start_callers(record);
-    let start = record.now();
-    sleep_until(record, start + 4.0);
-    if trouble {
-        write_unreadable_entry(&deployment.store, record);
-    }
-    sleep_until(record, start + 8.0);
-    let fault = record.now();
-    for node in &mut deployment.nodes {
-        node.kill();
-    }
-    for node in &mut deployment.nodes {
-        node.start()?;
+    /// Another writer leaves an entry of kind `servers` that cannot be read.
+    /// Later an endpoint drains and ends.
+    fn foreign_entry(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        store.put("config", "main", &configuration(3));
+        let work = Duration::from_millis(1_000);
+        let mut endpoints = Vec::new();
+        for n in 1..=10 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            let id = format!("i-{n}");
+            endpoints.push(Endpoint::start(&id, "snijbank", &address, work, &store, record)?);
+        }
+        let nodes = self.nodes(net, 5, &store)?;
+        let started = record.now();
+        let callers = Callers::new(record);
+        for n in 0..40 {
+            let pause = Duration::from_millis(100);
+            let node = nodes[n % 5].front();
+            callers.start(&format!("c{n}"), &node, "POST", "/orders/new", "key-of-atelier", pause);
+        }
+        sleep_until(record, started + 4.0);
+        self.write_foreign_entry(&store, net);
+        sleep_until(record, started + 9.0);
+        let leaving = &endpoints[..2];
+        let drained_at: Vec<f64> = leaving.iter().map(Endpoint::drain).collect();
+        // They serve on for `drain-s` and some seconds more.
+        sleep_until(record, drained_at[1] + DRAIN_S + 6.0);
+        leaving.iter().for_each(Endpoint::end);
+        std::thread::sleep(Duration::from_secs(3));
+        callers.stop();
+        std::thread::sleep(Duration::from_millis(600));
+        let mut late = 0;
+        let mut unanswered = 0;
+        for (endpoint, drained_at) in leaving.iter().zip(drained_at) {
+            let runs = endpoint.runs();
+            late += runs.iter().filter(|run| run.at > drained_at + DRAIN_S).count();
+            unanswered += runs.iter().filter(|run| !run.answered).count();
+        }
+        let sent = callers.sent();
+        let served = sent.iter().filter(|sent| sent.has_seal).count();
+        record.add(format!(
+            "{late} requests reached the leaving endpoints later than {DRAIN_S} s after the acknowledgements; \
+             {unanswered} orders were running there when they exited; {served} of {} requests served",
+            sent.len()
+        ));
+        drop(nodes);
+        Ok(if late > 0 { BROKEN } else { HELD })
     }
-    let back = record.now();
-    sleep_until(record, back + RECOVERY_S + 10.0);
-    callers.stop();
-    sleep_until(record, record.now() + 5.0);
-    let sent = callers.sent();
-    let served_of = |from: f64, to: f64| {
-        let in_time = sent.iter().filter(|s| s.at >= from && s.at < to);
-        let served = in_time.clone().filter(|s| s.status == 200 && s.has_seal);
-        (served.count(), in_time.count())
-    };
-    let (served_before, sent_before) = served_of(start, fault);
-    let (served_after, sent_after) = served_of(back + RECOVERY_S, f64::INFINITY);
-    let ready = deployment.nodes.iter().filter(|node| node.is_ready()).count();
-    record.add(format!(
-        "before the final fault: {served_before} of {sent_before} served; later than {RECOVERY_S} s after the machines \
-         are back: {served_after} of {sent_after} served; {ready} of {} nodes are ready",
-        deployment.nodes.len()
-    ));
-    if sent_before == 0 || sent_after == 0 || served_before * 4 < sent_before {
-        return Ok(CANNOT_RUN);
+
+    /// The store gives no answer to one heartbeat of two endpoints and executes it
+    /// later, when they have reported that they leave.
+    fn late_write(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        store.put("config", "main", &configuration(3));
+        let work = Duration::from_millis(400);
+        let mut endpoints = Vec::new();
+        for n in 1..=10 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            endpoints.push(Endpoint::start(&format!("i-{n}"), "snijbank", &address, work, &store, record)?);
+        }
+        let nodes = self.nodes(net, 3, &store)?;
+        let started = record.now();
+        let callers = Callers::new(record);
+        for n in 0..60 {
+            let pause = Duration::from_millis(50);
+            let node = nodes[n % 3].front();
+            callers.start(&format!("c{n}"), &node, "POST", "/orders/new", "key-of-atelier", pause);
+        }
+        let leaving = &endpoints[..2];
+        let lost_at = started + 4.0;
+        sleep_until(record, lost_at);
+        if self.trouble {
+            leaving.iter().for_each(|e| e.beat_late(LATE_WRITE));
+        }
+        // The store has been without disruption for `stable-window-s`.
+        sleep_until(record, lost_at + STABLE_WINDOW_S + 0.1);
+        let drained_at: Vec<f64> = leaving.iter().map(Endpoint::drain).collect();
+        sleep_until(record, drained_at[1] + 8.0);
+        leaving.iter().for_each(Endpoint::end);
+        std::thread::sleep(Duration::from_secs(2));
+        callers.stop();
+        std::thread::sleep(Duration::from_millis(600));
+        let late: Vec<f64> = leaving
+            .iter()
+            .zip(drained_at)
+            .flat_map(|(endpoint, drained_at)| {
+                let runs = endpoint.runs();
+                runs.into_iter().map(move |run| run.at - drained_at)
+            })
+            .filter(|after| *after > DRAIN_S)
+            .collect();
+        let latest = late.iter().copied().fold(0.0, f64::max);
+        record.add(format!(
+            "{} requests reached the leaving endpoints later than {DRAIN_S} s after the acknowledgements, \
+             the last one after {latest:.3} s",
+            late.len()
+        ));
+        drop(nodes);
+        Ok(if late.is_empty() { HELD } else { BROKEN })
     }
-    Ok(if served_after * 4 < sent_after {
-        BROKEN
-    } else {
-        HELD
-    })
-}
 
-/// Fault: on a tenth of the machines, two at least, processes end by themselves
-/// three times with no disruption there, because they exceed `memory-mb`.
-///
-/// The platform of this case does what its page says: it ends a process that
-/// exceeds its memory, and starts it again after a short delay.
-fn memory(record: &Record, dir: &PathBuf, trouble: bool) -> std::io::Result<i32> {
-    let mut deployment = Deployment::start(record, dir, 3)?;
-    let mut version = 6;
-    let config = configuration_with(version, MORE_ROUTES);
-    deployment.store.put("config", "main", &config);
-    record.add(format!(
-        "configuration with {MORE_ROUTES} routes more, {} bytes",
-        config.len()
-    ));
-    let callers = deployment.start_callers(record);
-    let mut ends = vec![0_u32; deployment.nodes.len()];
-    let start = record.now();
-    sleep_until(record, start + 3.0);
-    let mut changes = 0;
-    let length = 85.0;
-    while record.now() < start + length {
-        let in_storm = (record.now() - start) % (STORM_S + STORM_PAUSE_S) < STORM_S;
-        if trouble && in_storm {
-            version += 1;
-            let config = configuration_with(version, MORE_ROUTES);
-            deployment.store.put("config", "main", &config);
-            changes += 1;
+    /// The operator changes a configuration with many routes again and again. The
+    /// platform ends a process whose memory is over its limit, and starts it again.
+    fn configuration_changes(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        let large = |version| with_idle_routes(&configuration(version), MORE_ROUTES, version);
+        store.put("config", "main", &large(3));
+        record.add(format!("the configuration has {} bytes", large(3).len()));
+        let work = Duration::from_millis(800);
+        let mut endpoints = Vec::new();
+        for n in 1..=4 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            endpoints.push(Endpoint::start(&format!("i-{n}"), "snijbank", &address, work, &store, record)?);
+        }
+        let mut nodes = self.nodes(net, 3, &store)?;
+        let callers = Callers::new(record);
+        for n in 0..18 {
+            let pause = Duration::from_millis(100);
+            let node = nodes[n % 3].front();
+            callers.start(&format!("c{n}"), &node, "POST", "/orders/new", "key-of-atelier", pause);
         }
-        std::thread::sleep(Duration::from_secs_f64(STORM_GAP_S));
-        let used: Vec<u64> = deployment.nodes.iter().map(Node::memory_kib).collect();
-        record.add(format!("version {version}; memory of the nodes in KiB: {used:?}"));
-        for (n, node) in deployment.nodes.iter_mut().enumerate() {
-            if used[n] > MEMORY_MB * 1024 {
-                ends[n] += 1;
-                record.add(format!(
-                    "node {} has {} KiB, more than {MEMORY_MB} MiB, and is ended by the platform",
-                    node.name, used[n]
-                ));
-                node.kill();
-                std::thread::sleep(Duration::from_millis(200));
-                node.start()?;
-            } else if !node.runs() {
-                ends[n] += 1;
-                record.add(format!("node {} has ended by itself", node.name));
-                node.start()?;
+        let writing = {
+            let (store, record) = (store.clone(), record.clone());
+            let trouble = self.trouble;
+            std::thread::spawn(move || {
+                let mut version = 3;
+                while trouble && record.now() < STORMS_END_S {
+                    for _ in 0..STORM_VERSIONS {
+                        version += 1;
+                        store.put("config", "main", &with_idle_routes(&configuration(version), MORE_ROUTES, version));
+                        std::thread::sleep(STORM_GAP);
+                    }
+                    record.add(format!("the store holds version r{version}"));
+                    std::thread::sleep(Duration::from_secs(1));
+                }
+            })
+        };
+        let mut ends = 0;
+        let mut next_report = 0.0;
+        while record.now() < if self.trouble { STORMS_END_S + 4.0 } else { 30.0 } {
+            std::thread::sleep(Duration::from_millis(100));
+            let memory: Vec<u64> = nodes.iter().map(Node::memory_kib).collect();
+            if record.now() > next_report {
+                record.add(format!("memory of the nodes in KiB: {memory:?}"));
+                next_report += 5.0;
+            }
+            for (node, kib) in nodes.iter_mut().zip(memory) {
+                if kib * 1024 > MEMORY_BYTES {
+                    record.add(format!("node {} has {kib} KiB, over memory-mb", node.name));
+                    ends += 1;
+                    node.kill();
+                    std::thread::sleep(Duration::from_millis(300));
+                    node.start()?;
+                }
             }
         }
+        callers.stop();
+        let _ = writing.join();
+        std::thread::sleep(Duration::from_secs(2));
+        let ran: std::collections::HashSet<String> =
+            endpoints.iter().flat_map(Endpoint::runs).map(|run| run.id).collect();
+        let sent = callers.sent();
+        let lost = sent.iter().filter(|s| s.on_kept && s.status == 0 && ran.contains(&s.id)).count();
+        record.add(format!(
+            "{ends} processes ended over their memory; of {} requests, {lost} came on kept connections, ran, \
+             and their connections closed without an answer",
+            sent.len()
+        ));
+        drop(nodes);
+        Ok(if lost > 3 { BROKEN } else { HELD })
     }
-    callers.stop();
-    sleep_until(record, record.now() + 5.0);
-    let sent = callers.sent();
-    let served = sent.iter().filter(|s| s.status == 200 && s.has_seal).count();
-    let cut = sent.iter().filter(|s| s.status == 0).count();
-    record.add(format!(
-        "{changes} changes of the configuration; ends of the nodes for memory: {ends:?}; requests sent {}, served \
-         {served}, cut off or not connected {cut}",
-        sent.len()
-    ));
-    if served == 0 {
-        return Ok(CANNOT_RUN);
-    }
-    let often = ends.iter().filter(|n| **n >= 3).count();
-    Ok(if often >= 2 { BROKEN } else { HELD })
 }
 
-/// CONFIG: a request runs that was sent later than `revoke-s` after the
-/// acknowledgement of a configuration that took its key away.
-fn withdrawn_key(record: &Record, dir: &PathBuf, trouble: bool) -> std::io::Result<i32> {
-    let tenant = |name: &str, keys: &str| {
-        format!("{{\"name\":\"{name}\",\"api-keys\":[{keys}],\"rate-per-s\":0,\"burst\":0}}")
-    };
-    let both_keys = format!("\"{KEY}\",\"{OLD_KEY}\"");
-    let new_key = format!("\"{KEY}\"");
-    let deployment = Deployment::start(record, dir, 3)?;
-    let config = configuration_of(6, 0, &tenant("atelier", &both_keys));
-    deployment.store.put("config", "main", &config);
-    std::thread::sleep(Duration::from_secs(1));
-    let callers = deployment.start_callers_with(record, OLD_KEY);
-    let start = record.now();
-    sleep_until(record, start + 4.0);
-    let served_before = callers.sent().iter().filter(|s| s.status == 200).count();
-    // The new tenant's name has an underscore, or a hyphen without the trouble.
-    let name = if trouble { "atelier_lyon" } else { "atelier-lyon" };
-    let tenants = format!("{},{}", tenant("atelier", &new_key), tenant(name, ""));
-    deployment.store.put("config", "main", &configuration_of(9, 0, &tenants));
-    let acked = record.now();
-    record.add(format!(
-        "store acknowledges version r9, which takes a key of atelier away and adds the tenant {name}"
-    ));
-    sleep_until(record, acked + REVOKE_S + 8.0);
-    callers.stop();
-    sleep_until(record, record.now() + 5.0);
-    let sent = callers.sent();
-    let late = sent.iter().filter(|s| s.at > acked + REVOKE_S);
-    let run = late.clone().filter(|s| s.status == 200 && s.has_seal).count();
-    record.add(format!(
-        "requests with the key served before {served_before}; sent later than {REVOKE_S} s after it was taken away {}, \
-         of which {run} ran",
-        late.count()
-    ));
-    if served_before == 0 {
-        return Ok(CANNOT_RUN);
-    }
-    Ok(if run > 0 { BROKEN } else { HELD })
+/// Adds routes that no caller uses.
+fn with_idle_routes(configuration: &str, count: usize, version: u32) -> String {
+    let routes: Vec<String> = (0..count)
+        .map(|n| {
+            format!(
+                "{{\"name\":\"idle-{n}\",\"hostname\":\"shop-{n}.example\",\"path-prefix\":\"/idle-{n}/\",\"route-type\":\"safe\",\
+                 \"timeout-s\":{},\"target-latency-s\":0.8,\"priority\":1,\"service\":\"maatboek\",\"max-attempts\":2}},",
+                2 + version % 3
+            )
+        })
+        .collect();
+    configuration.replacen("\"routes\":[", &format!("\"routes\":[{}", routes.concat()), 1)
 }
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Message, Reader};
 use crate::record::Record;
@@ -27,6 +27,8 @@
     record: Record,
     born: u64,
     seq: AtomicU64,
+    /// When the entry is written next.
+    next_beat: Mutex<Instant>,
     draining: AtomicBool,
     /// The process has ended.
     ended: AtomicBool,
@@ -38,7 +40,6 @@
 /// One run of a request.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub endpoint: String,
     pub id: String,
     /// Seconds since the start of the case.
     pub at: f64,
@@ -66,6 +67,7 @@
             record: record.clone(),
             born: now.map_or(1, |d| d.as_millis() as u64),
             seq: AtomicU64::new(0),
+            next_beat: Mutex::new(Instant::now()),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             running: AtomicU32::new(0),
@@ -76,11 +78,13 @@
         let beating = endpoint.clone();
         std::thread::spawn(move || {
             loop {
-                std::thread::sleep(HEARTBEAT);
+                std::thread::sleep(Duration::from_millis(20));
                 if beating.0.ended.load(Ordering::SeqCst) {
                     return;
                 }
-                beating.register();
+                if Instant::now() >= *beating.0.next_beat.lock().unwrap() {
+                    beating.register();
+                }
             }
         });
         let serving = endpoint.clone();
@@ -103,20 +107,41 @@
         self.0.runs.lock().unwrap().clone()
     }
 
+    /// Writes the entry. A report restarts the heartbeat interval.
     fn register(&self) {
+        let spec = self.next_entry();
+        self.0.store.put("servers", &self.0.id, &spec);
+    }
+
+    /// Writes the entry as a heartbeat to which the store gives no answer, and which
+    /// it executes after `delay`.
+    pub fn beat_late(&self, delay: Duration) {
+        let spec = self.next_entry();
+        self.0.record.add(format!("{} writes its entry and gets no answer: {spec}", self.0.id));
+        let endpoint = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            let e = &endpoint.0;
+            e.store.put("servers", &e.id, &spec);
+            e.record.add(format!("the store executes that write of {}", e.id));
+        });
+    }
+
+    /// The entry with the next sequence number.
+    fn next_entry(&self) -> String {
         let e = &self.0;
+        *e.next_beat.lock().unwrap() = Instant::now() + HEARTBEAT;
         let seq = e.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if e.draining.load(Ordering::SeqCst) {
             "draining"
         } else {
             "ready"
         };
-        let spec = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":{SLOTS},\
              \"state\":\"{state}\",\"cold-remaining-s\":0,\"seq-no\":{seq},\"born\":{}}}",
             e.service, e.address, e.born
-        );
-        e.store.put("servers", &e.id, &spec);
+        )
     }
 
     /// Reports `draining`. Returns when the store has acknowledged it.
@@ -198,7 +223,6 @@
         let run = {
             let mut runs = e.runs.lock().unwrap();
             runs.push(Run {
-                endpoint: e.id.clone(),
                 id: id.to_owned(),
                 at,
                 answered: false,
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -42,7 +42,7 @@
              [zones]\nz-a = \"r-a\"\n\
              [listen]\nfront = \"{ip}:{FRONT}\"\nready = \"{ip}:{READY}\"\ncontrol = \"{ip}:{CONTROL}\"\n\
              directory = \"{ip}:{DIRECTORY}\"\n\
-             [limits]\ncpu-share = 0.1\ncores = 1\nmemory-mb = 160\nmax-fds = 4100\nlink-mbps = 20.0\ndisk-mb = 0\n\
+             [limits]\ncpu-share = 0.2\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\nlink-mbps = 1000.0\ndisk-mb = 0\n\
              [bounds]\nseed-lag-s = 3\nreuse-after-s = 2\nstable-window-s = 4\nack-s = 5\ncatch-up-s = 4\n\
              drain-s = 2.5\ngrace-s = 6\nloss-slack-s = 0.2\nconfig-s = 2.5\nrollback-slack-s = 0.25\nouter-s = 6\n\
              strict-revoke = true\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-window-s = 10\nbudget-slack = 58\n\
@@ -93,13 +93,6 @@
         }
     }
 
-    /// Whether the process still runs.
-    pub fn runs(&mut self) -> bool {
-        self.child
-            .as_mut()
-            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Memory that the process has in use, in KiB; 0 if it does not run.
     pub fn memory_kib(&self) -> u64 {
         let id = self.child.as_ref().map_or(0, Child::id);
