review: case 2, a withdrawn key stays valid when a version cannot be read

A version of the configuration with a name outside a-z, 0-9 and '-' is ignored as a whole, while the old one still counts as confirmed. The case of memory becomes case 3; that of an endless cold time leaves its place, and stays in the stand-ins as cold-entry.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/filbertgrade ] || exit 2
-exec target/review/standin cold-entry review/3
+exec target/review/standin memory review/3
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -17,6 +17,9 @@
 /// `drain-s` of the settings.
 const DRAIN_S: f64 = 2.5;
 
+/// `revoke-s` of the settings.
+const REVOKE_S: f64 = 5.0;
+
 /// `stable-window-s` of the settings.
 const STABLE_WINDOW_S: f64 = 4.0;
 
@@ -67,6 +70,7 @@
         "unreadable-entry-restart" => scene.restart_with_foreign_entry(),
         "memory" => scene.configuration_changes(),
         "late-write" => scene.late_write(),
+        "withdrawn-key" => scene.withdrawn_key(),
         _ => Err(std::io::Error::other("no such case")),
     };
     let status = result.unwrap_or_else(|error| {
@@ -338,6 +342,61 @@
         Ok(if late.is_empty() { HELD } else { BROKEN })
     }
 
+    /// A new version of the configuration withdraws a key, and adds a tenant whose
+    /// name has an underscore.
+    fn withdrawn_key(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        let first = configuration(3).replace(
+            "[\"key-of-atelier\"]",
+            "[\"key-of-atelier\",\"another-key\"]",
+        );
+        store.put("config", "main", &first);
+        let work = Duration::from_millis(300);
+        let mut endpoints = Vec::new();
+        for n in 1..=4 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            endpoints.push(Endpoint::start(&format!("i-{n}"), "snijbank", &address, work, &store, record)?);
+        }
+        let nodes = self.nodes(net, 3, &store)?;
+        let started = record.now();
+        let callers = Callers::new(record);
+        for (n, key) in ["key-of-atelier", "another-key"].into_iter().cycle().take(12).enumerate() {
+            let node = nodes[n % 3].front();
+            let pause = Duration::from_millis(200);
+            callers.start(&format!("{key}-{n}"), &node, "POST", "/orders/new", key, pause);
+        }
+        sleep_until(record, started + 4.0);
+        let name = if self.trouble { "riding_school" } else { "ridingschool" };
+        let tenant = format!(
+            "\"tenants\":[{{\"name\":\"{name}\",\"api-keys\":[\"key-of-school\"],\"rate-per-s\":20,\"burst\":20}},"
+        );
+        let second = configuration(4)
+            .replace("[\"key-of-atelier\"]", "[\"another-key\"]")
+            .replace("\"tenants\":[", &tenant);
+        store.put("config", "main", &second);
+        let withdrawn_at = record.now();
+        record.add(format!("the store acknowledges r4: {second}"));
+        sleep_until(record, withdrawn_at + REVOKE_S + 6.0);
+        callers.stop();
+        std::thread::sleep(Duration::from_secs(1));
+        let ran: std::collections::HashSet<String> =
+            endpoints.iter().flat_map(Endpoint::runs).map(|run| run.id).collect();
+        let sent = callers.sent();
+        let late = sent
+            .iter()
+            .filter(|s| s.id.starts_with("key-of-atelier") && s.at > withdrawn_at + REVOKE_S)
+            .filter(|s| ran.contains(&s.id))
+            .count();
+        record.add(format!(
+            "{late} requests with the withdrawn key were sent later than {REVOKE_S} s after the \
+             acknowledgement, and ran"
+        ));
+        drop(nodes);
+        Ok(if late > 0 { BROKEN } else { HELD })
+    }
+
     /// The operator changes a configuration with many routes again and again. The
     /// platform ends a process whose memory is over its limit, and starts it again.
     fn configuration_changes(&self) -> std::io::Result<i32> {
