review: case 5, a past rejection by the store keeps endpoints that left in use

A node that was turned away and then follows another one makes no call that would end its outage. Its next call, much later, ends it, and endpoints that were removed are kept for 2 s as if they had lapsed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/filbertgrade ] || exit 2
-exec target/review/standin late-write review/5
+exec target/review/standin past-outage review/5
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -23,6 +23,9 @@
 /// `stable-window-s` of the settings.
 const STABLE_WINDOW_S: f64 = 4.0;
 
+/// How long a node stands still.
+const FREEZE_S: f64 = 3.5;
+
 /// How long after its call a write without an answer is executed; the pages name 1
 /// to 6 s.
 const LATE_WRITE: Duration = Duration::from_millis(5_950);
@@ -70,6 +73,7 @@
         "unreadable-entry-restart" => scene.restart_with_foreign_entry(),
         "memory" => scene.configuration_changes(),
         "late-write" => scene.late_write(),
+        "past-outage" => scene.past_outage(),
         "withdrawn-key" => scene.withdrawn_key(),
         _ => Err(std::io::Error::other("no such case")),
     };
@@ -397,6 +401,81 @@
         Ok(if late > 0 { BROKEN } else { HELD })
     }
 
+    /// The store turns a node away for some seconds. Later the node that follows the
+    /// store in its place freezes, as two endpoints leave. With `TROUBLE=0` and
+    /// `FREEZE` set, only the freeze happens.
+    fn past_outage(&self) -> std::io::Result<i32> {
+        let net = free_net();
+        let record = &self.record;
+        let store = Store::start(&format!("127.0.{net}.1:8382"))?;
+        store.put("config", "main", &configuration(3));
+        let work = Duration::from_millis(600);
+        let mut endpoints = Vec::new();
+        for n in 1..=10 {
+            let address = format!("127.0.{net}.{}:8500", 100 + n);
+            endpoints.push(Endpoint::start(&format!("i-{n}"), "snijbank", &address, work, &store, record)?);
+        }
+        let nodes = self.nodes(net, 2, &store)?;
+        let started = record.now();
+        let callers = Callers::new(record);
+        for n in 0..100 {
+            let name = format!("at-{}-c{n}", nodes[n % 2].name);
+            let pause = Duration::from_millis(50);
+            let node = nodes[n % 2].front();
+            callers.start(&name, &node, "POST", "/orders/new", "key-of-atelier", pause);
+        }
+        let reader = || nodes.iter().find(|node| store.last_reader() == Some(node.ip()));
+        sleep_until(record, started + 3.0);
+        if self.trouble {
+            let Some(first) = reader() else {
+                return Err(std::io::Error::other("no node reads the store"));
+            };
+            record.add(format!("the store turns {} away", first.name));
+            store.turn_away(Some(first.ip()));
+            sleep_until(record, started + 9.0);
+            store.turn_away(None);
+            record.add("the store serves all nodes again");
+        }
+        sleep_until(record, started + 9.0 + 2.0 * STABLE_WINDOW_S);
+        let Some(follower) = reader() else {
+            return Err(std::io::Error::other("no node reads the store"));
+        };
+        let Some(other) = nodes.iter().find(|node| node.name != follower.name) else {
+            return Err(std::io::Error::other("there is one node only"));
+        };
+        let frozen_at = record.now();
+        if self.trouble || std::env::var("FREEZE").is_ok() {
+            follower.freeze(true);
+        }
+        let leaving = &endpoints[..2];
+        let left_at: Vec<f64> = leaving.iter().map(Endpoint::deregister).collect();
+        sleep_until(record, frozen_at + FREEZE_S);
+        leaving.iter().for_each(Endpoint::end);
+        if self.trouble || std::env::var("FREEZE").is_ok() {
+            follower.freeze(false);
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        callers.stop();
+        std::thread::sleep(Duration::from_millis(1_500));
+        let through = format!("at-{}-", other.name);
+        let mut late = 0;
+        let mut unanswered = 0;
+        for (endpoint, left_at) in leaving.iter().zip(left_at) {
+            let runs = endpoint.runs();
+            let runs = runs.iter().filter(|run| run.id.starts_with(&through));
+            let runs: Vec<_> = runs.filter(|run| run.at > left_at + DRAIN_S).collect();
+            late += runs.len();
+            unanswered += runs.iter().filter(|run| !run.answered).count();
+        }
+        record.add(format!(
+            "{late} requests reached the endpoints through {} later than {DRAIN_S} s after the \
+             acknowledgements; {unanswered} of them were running there when they exited",
+            other.name
+        ));
+        drop(nodes);
+        Ok(if late > 0 { BROKEN } else { HELD })
+    }
+
     /// The operator changes a configuration with many routes again and again. The
     /// platform ends a process whose memory is over its limit, and starts it again.
     fn configuration_changes(&self) -> std::io::Result<i32> {
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -30,6 +30,8 @@
     /// When the entry is written next.
     next_beat: Mutex<Instant>,
     draining: AtomicBool,
+    /// The entry was removed for good.
+    left: AtomicBool,
     /// The process has ended.
     ended: AtomicBool,
     running: AtomicU32,
@@ -69,6 +71,7 @@
             seq: AtomicU64::new(0),
             next_beat: Mutex::new(Instant::now()),
             draining: AtomicBool::new(false),
+            left: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             running: AtomicU32::new(0),
             connections: Mutex::default(),
@@ -79,7 +82,8 @@
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(Duration::from_millis(20));
-                if beating.0.ended.load(Ordering::SeqCst) {
+                let e = &beating.0;
+                if e.ended.load(Ordering::SeqCst) || e.left.load(Ordering::SeqCst) {
                     return;
                 }
                 if Instant::now() >= *beating.0.next_beat.lock().unwrap() {
@@ -156,6 +160,18 @@
         at
     }
 
+    /// Leaves without a report: the entry is removed, and the process serves on.
+    pub fn deregister(&self) -> f64 {
+        self.0.left.store(true, Ordering::SeqCst);
+        self.0.store.remove("servers", &self.0.id);
+        let at = self.0.record.now();
+        self.0.record.add(format!(
+            "store acknowledges that the entry of endpoint {} is removed",
+            self.0.id
+        ));
+        at
+    }
+
     /// Ends the process: its connections close and its entry is removed.
     pub fn end(&self) {
         let e = &self.0;
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -93,6 +93,19 @@
         }
     }
 
+    /// The machine's address.
+    pub fn ip(&self) -> std::net::IpAddr {
+        self.ip.parse().unwrap()
+    }
+
+    /// Sends SIGSTOP or SIGCONT.
+    pub fn freeze(&self, frozen: bool) {
+        let id = self.child.as_ref().map_or(0, Child::id).to_string();
+        let signal = if frozen { "-STOP" } else { "-CONT" };
+        let _ = Command::new("kill").args([signal, &id]).status();
+        self.record.add(format!("node {} gets SIG{}", self.name, &signal[1..]));
+    }
+
     /// Memory that the process has in use, in KiB; 0 if it does not run.
     pub fn memory_kib(&self) -> u64 {
         let id = self.child.as_ref().map_or(0, Child::id);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,10 @@
     objects: BTreeMap<(String, String), (u64, String)>,
     /// Revision, kind, object and whether it was removed.
     log: Vec<(u64, String, String, bool)>,
+    /// Machine that the store turns away with status 503.
+    turned_away: Option<IpAddr>,
+    /// Machine that made the last read.
+    last_reader: Option<IpAddr>,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -84,14 +88,42 @@
         }
     }
 
+    /// Turns a machine away, and serves all others; `None` serves all.
+    pub fn turn_away(&self, machine: Option<IpAddr>) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().turned_away = machine;
+        changed.notify_all();
+    }
+
+    /// The machine that made the last read.
+    pub fn last_reader(&self) -> Option<IpAddr> {
+        self.shared.0.lock().unwrap().last_reader
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr().ok().map(|peer| peer.ip());
         let Ok(mut out) = stream.try_clone() else {
             return;
         };
         let mut reader = Reader::new(stream);
         while let Ok(Some(req)) = reader.message() {
-            let (status, body) = self.handle(&req);
+            if req.first_line.starts_with("GET") {
+                self.shared.0.lock().unwrap().last_reader = peer;
+            }
+            let is_turned_away = || {
+                let turned_away = self.shared.0.lock().unwrap().turned_away;
+                turned_away.is_some() && turned_away == peer
+            };
+            let mut response = (503, "{}".into());
+            if !is_turned_away() {
+                response = self.handle(&req, peer);
+            }
+            if is_turned_away() {
+                // A watch that waited is cut off.
+                response = (503, "{}".into());
+            }
+            let (status, body) = response;
             let head = format!(
                 "HTTP/1.1 {status} S\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
@@ -102,7 +134,7 @@
         }
     }
 
-    fn handle(&self, req: &Message) -> (u16, String) {
+    fn handle(&self, req: &Message, peer: Option<IpAddr>) -> (u16, String) {
         let mut words = req.first_line.split(' ');
         let method = words.next().unwrap_or("");
         let target = words.next().unwrap_or("");
@@ -124,7 +156,9 @@
         if method == "GET" {
             return match (name, number("watch")) {
                 (Some(name), _) => self.one(kind, name),
-                (None, Some(after)) => self.watch(kind, after, number("wait-ms").unwrap_or(0)),
+                (None, Some(after)) => {
+                    self.watch(kind, after, number("wait-ms").unwrap_or(0), peer)
+                },
                 (None, None) => self.list(kind, &param("after").unwrap_or_default()),
             };
         }
@@ -157,7 +191,13 @@
         )
     }
 
-    fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> (u16, String) {
+    fn watch(
+        &self,
+        kind: &str,
+        after: u64,
+        wait_ms: u64,
+        peer: Option<IpAddr>,
+    ) -> (u16, String) {
         let deadline = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
@@ -172,7 +212,8 @@
                 })
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            let turned_away = state.turned_away.is_some() && state.turned_away == peer;
+            if !events.is_empty() || left.is_zero() || turned_away {
                 let as_of = state.revision;
                 let events = events.join(",");
                 return (
