Keep only the newest content of changed objects for relayed reads

What callers saw: with 1,400 idle routes, each version of the configuration added 1.5 MB to every node.

Cause: KindCopy kept the last 1,000 changes of each kind with their whole objects. A pull needs only the newest content of each changed object (last_per_object dropped the rest), which the copy holds anyway.

Ruled out: the configuration in force is one Arc; the queue of log lines is bounded. The entry and agent pair keeps names and revisions only.

Conclusion: the history holds names and revisions, so its size no longer depends on the size of the objects.

--- a/crates/filbertgrade/src/process/node/copy.rs
+++ b/crates/filbertgrade/src/process/node/copy.rs
@@ -1,7 +1,7 @@
 //! Local copy of the store, from which a relay replies to the nodes that pull
 //! from it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -13,8 +13,8 @@
 
 use crate::sync::lock;
 
-/// Number of past changes of a kind that are kept. A node that has missed more
-/// receives a snapshot of the kind.
+/// Number of changed objects of a kind that are remembered. A node that has
+/// missed more receives a snapshot of the kind.
 const MAX_KEPT_CHANGES: usize = 1_000;
 
 /// The copies of all kinds.
@@ -30,10 +30,14 @@
     /// Revision that the copy represents; never decreases. `None` until the
     /// kind has been read.
     revision: Option<StoreRevision>,
-    /// Recent changes, oldest first, each with the revision of the update that
-    /// contained it.
-    changes: VecDeque<(StoreRevision, Event)>,
-    /// Invariant: `changes` contains all changes after this revision.
+    /// Names of the objects that changed last, the latest change at the end, each
+    /// with the revision of the update that contained its last change. An object
+    /// that is not in `objects` was removed.
+    ///
+    /// The contents are not kept: a configuration may have a megabyte, and other
+    /// nodes need only the newest one.
+    changes: IndexMap<String, StoreRevision>,
+    /// Invariant: `changes` names all objects that changed after this revision.
     complete_after: StoreRevision,
     /// When the store last confirmed that the copy was up to date.
     confirmed_at: Option<Instant>,
@@ -97,7 +101,7 @@
         Self {
             objects: IndexMap::new(),
             revision: None,
-            changes: VecDeque::new(),
+            changes: IndexMap::new(),
             complete_after: StoreRevision::default(),
             confirmed_at: None,
             changed: watch::Sender::default(),
@@ -122,21 +126,18 @@
             self.complete_after = update.revision;
         }
         for event in &update.events {
-            match event {
+            let name = match event {
                 Event::Written(object) => {
                     self.objects.insert(object.name.clone(), object.clone());
+                    &object.name
                 }
                 Event::Removed(name) => {
                     self.objects.shift_remove(name);
+                    name
                 }
-            }
+            };
             if !update.is_snapshot {
-                self.changes.push_back((update.revision, event.clone()));
-            }
-        }
-        while self.changes.len() > MAX_KEPT_CHANGES {
-            if let Some((revision, _)) = self.changes.pop_front() {
-                self.complete_after = revision;
+                self.record_change(name, update.revision);
             }
         }
         if !update.events.is_empty() {
@@ -145,6 +146,19 @@
         true
     }
 
+    /// Makes a change the latest one, and forgets the oldest if there are too many.
+    fn record_change(&mut self, name: &str, revision: StoreRevision) {
+        // Removed first, because `insert` would keep the position of the
+        // earlier change.
+        self.changes.shift_remove(name);
+        self.changes.insert(name.to_owned(), revision);
+        if self.changes.len() > MAX_KEPT_CHANGES
+            && let Some((_, oldest)) = self.changes.shift_remove_index(0)
+        {
+            self.complete_after = oldest;
+        }
+    }
+
     /// Revision that the copy represents; `None` until the kind has been read.
     pub(super) fn revision(&self) -> Option<StoreRevision> {
         self.revision
@@ -170,8 +184,8 @@
             revision.filter(|after| *after >= self.complete_after && after.era <= known.era);
         let events = match after {
             Some(after) => {
-                let newer = self.changes.iter().filter(|(at, _)| *at > after);
-                last_per_object(newer.map(|(_, event)| event))
+                let newer = self.changes.iter().filter(|(_, at)| **at > after);
+                newer.map(|(name, _)| self.event_of(name)).collect()
             }
             None => self.objects.values().cloned().map(Event::Written).collect(),
         };
@@ -183,21 +197,12 @@
             unreadable: 0,
         })
     }
-}
 
-/// Returns only the last change of each object, in order. A node that has
-/// fallen behind does not need the earlier ones, and a configuration is large.
-fn last_per_object<'a>(changes: impl Iterator<Item = &'a Event>) -> Vec<Event> {
-    let mut last: IndexMap<&str, &Event> = IndexMap::new();
-    for event in changes {
-        let name = match event {
-            Event::Written(object) => object.name.as_str(),
-            Event::Removed(name) => name.as_str(),
-        };
-        // Removed first, because `insert` would keep the position of the
-        // earlier change.
-        last.shift_remove(name);
-        last.insert(name, event);
+    /// The last change of an object.
+    fn event_of(&self, name: &str) -> Event {
+        match self.objects.get(name) {
+            Some(object) => Event::Written(object.clone()),
+            None => Event::Removed(name.to_owned()),
+        }
     }
-    last.into_values().cloned().collect()
 }
--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::cluster::{TestCluster, eventually};
 use filbertgrade_standins::node::store::StoreFault;
 
+/// Memory in KiB that a node may use to control requests, whatever it forwards.
+const CONTROL_MEMORY_KIB: u64 = 128_000;
+
 /// Longest time that a change may need to take effect.
 const CHANGE_TIME_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -136,3 +139,31 @@
     cluster.get("safe", "e3").await;
     assert_eq!(cluster.requests_run(), ran);
 }
+
+/// Guards against nodes that keep every version of a large configuration, until
+/// they exceed their memory and running requests are lost with them.
+#[tokio::test]
+async fn memory_does_not_grow_with_the_changes_of_a_large_configuration() {
+    let mut cluster = TestCluster::with_nodes(&[1], 2).await;
+    for change in 0..150 {
+        cluster.configure(|spec| add_idle_routes(spec, 1_400, change));
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let version = format!("configuration_in_force version={} ", cluster.version());
+    for node in &cluster.nodes {
+        node.line_with(&[&version]).await;
+        let memory = node.peak_memory_kib();
+        assert!(memory < CONTROL_MEMORY_KIB, "{}: {memory} KiB", node.name);
+    }
+}
+
+/// Adds routes that no caller uses, with a timeout that depends on `change`.
+fn add_idle_routes(spec: &mut Value, count: u64, change: u64) {
+    let route = |n: u64| {
+        json!({"name": format!("idle-{n}"), "hostname": format!("shop-{n}.example"),
+               "path-prefix": format!("/idle-{n}/"), "route-type": "safe", "timeout-s": 2 + change % 3,
+               "target-latency-s": 0.8, "priority": 1, "service": "charts", "max-attempts": 2})
+    };
+    let routes = spec["routes"].as_array_mut().unwrap();
+    routes.extend((0..count).map(route));
+}
