End an outage of the store when the relay is served again

Cause: an outage was counted from the first failed call to the next successful call of the same node. A node whose relay works makes no calls. When the relay froze 11 s after the store had served all nodes again, the next call ended an "outage" of 16 s, and the endpoints that had just been removed were kept for the 2 s in which they may register again after an outage.

Evidence: event=store_regained outage_ms=16213 in the log of the node, followed by event=endpoint_removed and event=outage_was_own a second later.

Ruled out: an outage adopted from the relay (its log has none); the freeze alone.

Why this works: a pull from a relay tells when the store served the relay. If that is later than the last failed call, the outage is over at that time, so that later calls end nothing. Watches of the other kinds are woken by the first answer of a store that had stopped responding, as before.

The time until the relay is given up, 2.36 s of the 2.5 s allowed, is a fault of its own.

--- a/crates/filbertgrade-coord/src/steering/store_health.rs
+++ b/crates/filbertgrade-coord/src/steering/store_health.rs
@@ -12,8 +12,11 @@
     /// Latest instant at which the store had no newer configuration; never
     /// moves backward.
     confirmed_at: Option<Instant>,
-    /// Start of the first call that failed since the last successful one.
+    /// Start of the first call that failed since the store was last known to
+    /// serve this VM or its relay.
     failing_since: Option<Instant>,
+    /// Start of the last call that failed.
+    last_failed_call: Option<Instant>,
     /// Time of the last successful call.
     last_success_at: Option<Instant>,
     /// The last outage that has ended.
@@ -27,7 +30,7 @@
 pub struct Outage {
     /// Start of the first call that failed.
     pub started_at: Instant,
-    /// Time of the first successful call after it.
+    /// When the store was first known to serve this VM or its relay again.
     pub ended_at: Instant,
 }
 
@@ -57,14 +60,30 @@
     pub fn record_success(&mut self, now: Instant) -> Option<Duration> {
         self.last_success_at = Some(now);
         self.failed_probes = 0;
+        self.end_outage(now)
+    }
+
+    /// Records that the store served the relay of this VM at `served_at`. Returns
+    /// the length of the outage that had ended by then, if there was one.
+    ///
+    /// A VM with a relay makes no calls of its own, so that its next one may follow
+    /// long after the outage.
+    pub fn record_relay_served(&mut self, served_at: Instant) -> Option<Duration> {
+        if self.last_failed_call.is_some_and(|at| served_at <= at) {
+            return None;
+        }
+        self.end_outage(served_at)
+    }
+
+    fn end_outage(&mut self, ended_at: Instant) -> Option<Duration> {
         let started_at = self.failing_since.take()?;
-        let outage = now.saturating_duration_since(started_at);
+        let outage = ended_at.saturating_duration_since(started_at);
         if outage < MIN_OUTAGE {
             return None;
         }
         self.last_outage = Some(Outage {
             started_at,
-            ended_at: now,
+            ended_at,
         });
         Some(outage)
     }
@@ -78,13 +97,14 @@
         if self.last_success_at.is_some_and(|at| at >= call_started) {
             return false;
         }
+        self.last_failed_call = self.last_failed_call.max(Some(call_started));
         let first = self.failing_since.is_none();
         self.failing_since.get_or_insert(call_started);
         first
     }
 
-    /// Reports whether calls are failing, that is, none has succeeded since the
-    /// last failure.
+    /// Reports whether calls are failing, that is, neither this VM nor its relay is
+    /// known to have been served since the last failure.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
     }
@@ -98,7 +118,13 @@
     /// Reports whether the store does not respond to this VM: several calls have
     /// failed since the last successful one, or none has succeeded yet.
     pub fn is_unreachable(&self) -> bool {
-        self.failed_probes >= UNREACHABLE_AFTER_PROBES || self.last_success_at.is_none()
+        self.has_stopped_responding() || self.last_success_at.is_none()
+    }
+
+    /// Reports whether several calls in a row have failed. Unlike
+    /// [`StoreHealth::is_unreachable`], it is false before the first call.
+    pub fn has_stopped_responding(&self) -> bool {
+        self.failed_probes >= UNREACHABLE_AFTER_PROBES
     }
 
     /// Returns the age of the newest confirmation, or `None` if there is none.
--- a/crates/filbertgrade-coord/tests/steering/limits.rs
+++ b/crates/filbertgrade-coord/tests/steering/limits.rs
@@ -374,3 +374,30 @@
     health.clear_confirmation();
     assert!(!health.is_confirmed_within(limit, at(3_001)));
 }
+
+/// Guards against an outage that seems to last until the next call of this VM,
+/// which may follow long after its relay was served again.
+#[test]
+fn outage_ends_when_the_relay_is_served_again() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut health = StoreHealth::default();
+    health.record_success(at(100));
+    health.record_failure(at(1_000));
+    health.record_failure(at(1_500));
+    assert_eq!(
+        health.record_relay_served(at(1_400)),
+        None,
+        "a call failed after the relay was served"
+    );
+    assert!(health.is_failing());
+    let outage = health.record_relay_served(at(2_000));
+    assert_eq!(outage, Some(Duration::from_millis(1_000)));
+    assert!(!health.is_failing());
+    assert_eq!(
+        health.record_success(at(60_000)),
+        None,
+        "the outage is long over"
+    );
+    assert_eq!(health.last_outage().unwrap().ended_at, at(2_000));
+}
--- a/crates/filbertgrade-standins/src/node/store.rs
+++ b/crates/filbertgrade-standins/src/node/store.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -40,6 +40,7 @@
     /// Revision of the last change; wakes watches.
     changed: watch::Sender<u64>,
     fault: watch::Sender<StoreFault>,
+    turned_away_changed: watch::Sender<()>,
 }
 
 #[derive(Debug, Default)]
@@ -61,6 +62,10 @@
     hung_reads: BTreeMap<String, u64>,
     /// Objects and revision that reads accepting stale results return.
     stale: Option<(Objects, u64)>,
+    /// Caller that is refused with status 503, while the others are served.
+    turned_away: Option<IpAddr>,
+    /// Address of the caller that was last served.
+    last_served: Option<IpAddr>,
 }
 
 /// A copy of a store's objects and history.
@@ -87,15 +92,16 @@
             state: Arc::default(),
             changed: watch::Sender::new(0),
             fault: watch::Sender::new(StoreFault::None),
+            turned_away_changed: watch::Sender::default(),
         };
         let serving = store.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, peer)) = listener.accept().await {
                 let store = serving.clone();
                 let service = service_fn(move |req| {
                     let store = store.clone();
                     async move {
-                        let mut response = store.handle(req).await;
+                        let mut response = store.handle_from(peer.ip(), req).await;
                         let era = HeaderValue::from(lock(&store.state).era);
                         response.headers_mut().insert("store-era", era);
                         Ok::<_, Infallible>(response)
@@ -115,6 +121,19 @@
         self.fault.send_replace(fault);
     }
 
+    /// Refuses the calls from one address with status 503, also those that are waiting, and serves
+    /// all others. `None` serves all again.
+    pub fn turn_away(&self, address: Option<IpAddr>) {
+        lock(&self.state).turned_away = address;
+        // Wakes the watches that are waiting.
+        self.turned_away_changed.send_replace(());
+    }
+
+    /// Returns the address of the caller that was last served.
+    pub fn last_served(&self) -> Option<IpAddr> {
+        lock(&self.state).last_served
+    }
+
     /// Returns the number of calls so far, without reads that accept stale results, since these
     /// cost only a tenth.
     pub fn full_cost_calls(&self) -> u64 {
@@ -215,6 +234,26 @@
         state.objects.get(&key).map(|(revision, _)| *revision)
     }
 
+    /// Handles a call, unless its caller is turned away.
+    async fn handle_from(&self, caller: IpAddr, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut changed = self.turned_away_changed.subscribe();
+        let turned_away = async {
+            while lock(&self.state).turned_away != Some(caller) {
+                if changed.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            () = turned_away => reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+            response = self.handle(req) => {
+                lock(&self.state).last_served = Some(caller);
+                response
+            }
+        }
+    }
+
     /// Handles a call, subject to the current fault.
     async fn handle(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         // Reads that accept stale results cost a tenth and are not counted.
--- a/crates/filbertgrade/src/process/node/source.rs
+++ b/crates/filbertgrade/src/process/node/source.rs
@@ -235,6 +235,7 @@
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 self.pull_failures.record_success();
+                record_relay_served(node, self.kind, &update);
                 node.failed_relays
                     .send_if_modified(|failed| failed.shift_remove(&address).is_some());
                 ReadOutcome::Update(update)
@@ -455,14 +456,37 @@
 pub(super) fn record_success(node: &Node, kind: Kind) {
     let kind = kind.as_str();
     metrics::counter!("store_calls_total", "kind" => kind, "result" => "ok").increment(1);
-    let outage = lock(&node.store_health).record_success(Instant::now());
-    if let Some(outage) = outage {
+    let (had_stopped, outage) = {
+        let mut health = lock(&node.store_health);
+        let had_stopped = health.has_stopped_responding();
+        (had_stopped, health.record_success(Instant::now()))
+    };
+    if had_stopped || outage.is_some() {
         node.store_restored.send_replace(());
-        log::info!(
-            "event=store_regained kind={kind} outage_ms={}",
-            outage.as_millis()
-        );
     }
+    if let Some(outage) = outage {
+        log_regained(kind, "own_call", outage);
+    }
+}
+
+/// Ends an outage of the store that this node saw, if a relay was served after it.
+fn record_relay_served(node: &Node, kind: Kind, update: &Update) {
+    let Some(served_at) = update.confirmed_at else {
+        return;
+    };
+    let outage = lock(&node.store_health).record_relay_served(served_at);
+    if let Some(outage) = outage {
+        log_regained(kind.as_str(), "relay", outage);
+    }
+}
+
+/// `seen_by` says whether a call of this node or its relay showed that the store
+/// responds again.
+fn log_regained(kind: &str, seen_by: &str, outage: Duration) {
+    log::info!(
+        "event=store_regained kind={kind} seen_by={seen_by} outage_ms={}",
+        outage.as_millis()
+    );
 }
 
 /// Counts a failed call, and logs the loss of the store if it is the first of
