Bound the failover from relays that stopped below the time of a drain

Cause: every step had a time-out and the sum had no bound. Over a new connection, a pull was held back for changes (0.6 s) before silence counted (0.5 s); the next relay was tried in the same way; each exclusion was followed by 0.25 s; and changes waited for 0.15 s after they had been read.

Why this works: only the pull that finds a proven relay silent may be held. Each one after it expects its reply at once, and is given up after 0.3 s. The sum is 1.92 s at any order of loss of two relays, with a store 55 ms away.

A relay that fails over itself lacks a recent copy for some 0.1 s; excluding it at once sent all nodes below it to the store. It is now pulled from once more after 0.25 s, unless it is the only relay, which is excluded at once as before.

Ruled out: the relay's age limit of 1.6 s, which comes after the first silence.

--- a/crates/filbertgrade-coord/src/steering/following.rs
+++ b/crates/filbertgrade-coord/src/steering/following.rs
@@ -98,38 +98,73 @@
     }
 }
 
+/// Why a pull from a relay failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PullFailure {
+    /// The connection failed or was silent. The relay may reply on a new one.
+    Connection,
+    /// The relay has no recent copy.
+    NoRecentCopy,
+}
+
 /// What to do after a pull from a relay failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterPullFailure {
-    /// Pull from the same relay again, over a new connection.
+    /// Pull from the same relay again at once, over a new connection.
     Reconnect,
+    /// Pull from the same relay again after a short time, in which it may fail
+    /// over to another relay or to the store.
+    RetryLater,
     /// Pull from another relay, or from the store.
     Exclude,
 }
 
-/// Failures of the pulls of one kind of object from the current relay.
+/// Outcomes of the pulls of one kind of object.
+///
+/// Bounds the time from the failure of a relay to the first read elsewhere. Only
+/// the pull that finds a proven relay silent is held back for changes; each one
+/// after it expects its reply at once, whatever relays and connections fail.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct PullFailures {
-    /// The last pull failed with its connection.
-    connection_failed: bool,
+pub struct PullOutcomes {
+    /// The relay of the last pull, if that pull succeeded.
+    proven: Option<SocketAddr>,
+    /// The relay of the last pull, if it had no recent copy.
+    outdated: Option<SocketAddr>,
 }
 
-impl PullFailures {
+impl PullOutcomes {
+    /// Reports whether the last pull succeeded, and was from this relay. A pull
+    /// from any other one must not wait for changes.
+    pub fn is_proven(&self, relay: SocketAddr) -> bool {
+        self.proven == Some(relay)
+    }
+
     /// Records that a pull succeeded.
-    pub fn record_success(&mut self) {
-        self.connection_failed = false;
+    pub fn record_success(&mut self, relay: SocketAddr) {
+        self.proven = Some(relay);
+        self.outdated = None;
     }
 
-    /// Records that a pull failed. A first failure of a connection says nothing
-    /// about the relay, which may reply on a new one. A second one in a row, or
-    /// a relay that replies that it has no recent copy, does.
-    pub fn record_failure(&mut self, only_connection_failed: bool) -> AfterPullFailure {
-        if only_connection_failed && !self.connection_failed {
-            self.connection_failed = true;
-            AfterPullFailure::Reconnect
-        } else {
-            self.connection_failed = false;
-            AfterPullFailure::Exclude
+    /// Records that a pull failed. `relays` is the number of relays of this VM.
+    ///
+    /// The first failure of a connection that worked says nothing about the
+    /// relay. A relay without a recent copy is given time to get one, unless it
+    /// is the only one: then this VM is the first to reach the store.
+    pub fn record_failure(
+        &mut self,
+        relay: SocketAddr,
+        failure: PullFailure,
+        relays: usize,
+    ) -> AfterPullFailure {
+        let was_proven = self.proven.take() == Some(relay);
+        let was_outdated = self.outdated.take() == Some(relay);
+        match failure {
+            PullFailure::Connection if was_proven => AfterPullFailure::Reconnect,
+            PullFailure::NoRecentCopy if relays > 1 && !was_outdated => {
+                self.outdated = Some(relay);
+                AfterPullFailure::RetryLater
+            }
+            PullFailure::Connection | PullFailure::NoRecentCopy => AfterPullFailure::Exclude,
         }
     }
 }
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::steering::following::AfterPullFailure;
+use filbertgrade_coord::steering::following::{AfterPullFailure, PullFailure};
 use filbertgrade_coord::steering::store_health::Outage;
 use filbertgrade_coord::steering::store_revision::StoreRevision;
 use filbertgrade_platform::objects::Kind;
@@ -77,10 +77,13 @@
 }
 
 impl RelayError {
-    /// Whether only the connection failed, so that the relay may still reply on
-    /// a new one.
-    pub(super) fn is_connection_failure(&self) -> bool {
-        matches!(self, Self::Link(_))
+    /// What the error says about the relay. A reply that cannot be read is no
+    /// better than one without a recent copy.
+    pub(super) fn failure(&self) -> PullFailure {
+        match self {
+            Self::Link(_) => PullFailure::Connection,
+            Self::Object(_) | Self::Unavailable => PullFailure::NoRecentCopy,
+        }
     }
 }
 
@@ -255,6 +258,7 @@
 pub(super) fn log_failure(kind: Kind, error: &RelayError, step: AfterPullFailure) {
     let next = match step {
         AfterPullFailure::Reconnect => "reconnect",
+        AfterPullFailure::RetryLater => "retry_later",
         AfterPullFailure::Exclude => "exclude",
     };
     log::info!(
--- a/crates/filbertgrade/src/process/node/source.rs
+++ b/crates/filbertgrade/src/process/node/source.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::steering::following::{
-    self, AfterPullFailure, ProbeDelay, PullFailures, ReadFrom, StallDetector,
+    self, AfterPullFailure, ProbeDelay, PullOutcomes, ReadFrom, StallDetector,
 };
 use filbertgrade_coord::steering::store_revision::StoreRevision;
 use filbertgrade_platform::objects::Kind;
@@ -28,6 +28,10 @@
 /// How long the connection to a relay may be silent while a reply is due.
 const RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
+/// The same for a relay from which the last pull did not succeed. Shorter, because
+/// the node has no source of changes until one replies.
+const UNPROVEN_RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(300);
+
 /// Upper limit of the delay before the call that follows a failed one. The
 /// actual delay is drawn at random from the upper half of this range.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -42,7 +46,7 @@
 /// either.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Delay before a node fails over to its next relay, so that this relay has
+/// Delay before a relay without a recent copy is pulled from again, so that it has
 /// time to reach the store itself.
 const RELAY_FAILOVER_DELAY: Duration = Duration::from_millis(250);
 
@@ -79,7 +83,7 @@
 pub(super) struct Source {
     kind: Kind,
     client: StoreClient,
-    pull_failures: PullFailures,
+    pull_outcomes: PullOutcomes,
     /// The last watch stalled, so the next one must not wait.
     watch_stalled: bool,
     /// The last call to the store failed with a connection that had worked.
@@ -93,6 +97,8 @@
     failed_relays: watch::Receiver<IndexMap<SocketAddr, Instant>>,
     /// Upper limit of the delay after the next failed call.
     retry_delay: Duration,
+    /// Before this instant, the store is not called again.
+    next_call_at: Instant,
 }
 
 /// Outcome of one attempt to read a kind.
@@ -113,7 +119,7 @@
         Self {
             kind,
             client: client(node),
-            pull_failures: PullFailures::default(),
+            pull_outcomes: PullOutcomes::default(),
             watch_stalled: false,
             connection_failed: false,
             probe_delay: ProbeDelay::default(),
@@ -121,6 +127,7 @@
             store_restored: node.store_restored.subscribe(),
             failed_relays: node.failed_relays.subscribe(),
             retry_delay: INITIAL_RETRY_DELAY,
+            next_call_at: node.started,
         }
     }
 
@@ -218,14 +225,23 @@
         revision: Option<StoreRevision>,
         wait: Duration,
     ) -> ReadOutcome {
-        // A copy that the store has not confirmed may be seconds old, so the
-        // first pull returns at once.
+        // A copy that the store has not confirmed may be seconds old.
         let is_confirmed = node
             .store_copy
             .with(self.kind, |copy| copy.confirmed_at().is_some());
-        let wait = if is_confirmed { wait } else { Duration::ZERO };
+        let is_proven = self.pull_outcomes.is_proven(address);
+        let wait = if is_confirmed && is_proven {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        let silence = if is_proven {
+            RELAY_SILENCE_LIMIT
+        } else {
+            UNPROVEN_RELAY_SILENCE_LIMIT
+        };
         let link = relay_link(node, address);
-        let pull = relay::pull(node, &link, self.kind, revision, wait, RELAY_SILENCE_LIMIT);
+        let pull = relay::pull(node, &link, self.kind, revision, wait, silence);
         let result = tokio::select! {
             result = pull => result,
             // A pull for another kind found that the relay failed.
@@ -234,7 +250,7 @@
         match result {
             Ok(update) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
-                self.pull_failures.record_success();
+                self.pull_outcomes.record_success(address);
                 record_relay_served(node, self.kind, &update);
                 node.failed_relays
                     .send_if_modified(|failed| failed.shift_remove(&address).is_some());
@@ -247,8 +263,8 @@
         }
     }
 
-    /// Waits before the pull that follows a failed one, and excludes the relay
-    /// if it has failed rather than only its connection.
+    /// Decides what follows a failed pull; see [`PullOutcomes`]. Waits if the relay
+    /// needs time, and excludes it if it has failed.
     async fn handle_pull_failure(
         &mut self,
         node: &Node,
@@ -260,18 +276,20 @@
             tokio::time::sleep(RELAY_STARTUP_RETRY_DELAY).await;
             return;
         }
+        let store_unreachable = lock(&node.store_health).is_unreachable();
+        let relays = lock(&node.members).relays(store_unreachable, now).len();
         let step = self
-            .pull_failures
-            .record_failure(error.is_connection_failure());
+            .pull_outcomes
+            .record_failure(address, error.failure(), relays);
         relay::log_failure(self.kind, error, step);
-        if step == AfterPullFailure::Reconnect {
-            return;
+        match step {
+            AfterPullFailure::Reconnect => {}
+            AfterPullFailure::RetryLater => tokio::time::sleep(RELAY_FAILOVER_DELAY).await,
+            AfterPullFailure::Exclude => node.failed_relays.send_modify(|failed| {
+                failed.retain(|_, at| now < *at + RELAY_EXCLUSION_TIME);
+                failed.insert(address, now);
+            }),
         }
-        tokio::time::sleep(RELAY_FAILOVER_DELAY).await;
-        node.failed_relays.send_modify(|failed| {
-            failed.retain(|_, at| now < *at + RELAY_EXCLUSION_TIME);
-            failed.insert(address, now);
-        });
     }
 
     async fn call_store(
@@ -281,6 +299,7 @@
         wait: Duration,
         max_lag: Option<Duration>,
     ) -> ReadOutcome {
+        tokio::time::sleep_until(self.next_call_at.into()).await;
         let started_at = Instant::now();
         self.store_restored.mark_unchanged();
         let confirmed_at = node.store_copy.with(self.kind, |copy| copy.confirmed_at());
@@ -325,7 +344,7 @@
                 // the store counts as lost.
                 let batches_changes = self.kind != Kind::Configuration;
                 if batches_changes && !update.events.is_empty() && !update.is_snapshot {
-                    tokio::time::sleep(CHANGE_BATCH_DELAY).await;
+                    self.next_call_at = Instant::now() + CHANGE_BATCH_DELAY;
                 }
                 ReadOutcome::Update(update)
             }
--- a/crates/filbertgrade/tests/node/silence.rs
+++ b/crates/filbertgrade/tests/node/silence.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::net::UdpSocket;
 
@@ -17,6 +18,10 @@
 /// VM without faults.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
 
+/// Longest time that a new connection to the store and a call on it take at any
+/// distance on these deployments: two round trips of 110 ms.
+const STORE_CALL_TIME: Duration = Duration::from_millis(220);
+
 /// Time after a fault of its connections from which a VM must meet the bounds
 /// again.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
@@ -113,6 +118,39 @@
     }
 }
 
+/// Guards against nodes that learn of a drain too late because relays that stopped
+/// without closing their connections are given up one after the other.
+#[rstest]
+#[case::only_relay(2, 1)]
+#[case::first_relay(3, 1)]
+#[case::both_relays(3, 2)]
+#[case::first_relay_of_two_levels(13, 1)]
+#[case::follower_and_one_other_of_two_levels(13, 2)]
+#[tokio::test]
+async fn drain_arrives_in_time_although_relays_have_stopped(
+    #[case] nodes: usize,
+    #[case] stopped: usize,
+) {
+    let mut cluster = TestCluster::with_nodes(&[1, 1], nodes).await;
+    tokio::time::sleep(START_TIME).await;
+    let served = cluster.store.last_served();
+    // The node that follows the store is the first relay of all others.
+    cluster
+        .nodes
+        .sort_by_key(|node| Some(node.callers.ip()) != served);
+    let (frozen, others) = cluster.nodes.split_at(stopped);
+    frozen.iter().for_each(|node| node.signal(Signal::STOP));
+    let drained_at = Instant::now();
+    cluster.register(&cluster.endpoints[0], "draining");
+    let mut slowest = Duration::ZERO;
+    for node in others {
+        node.line_with(&DRAIN_RECEIVED).await;
+        slowest = slowest.max(drained_at.elapsed());
+    }
+    frozen.iter().for_each(|node| node.signal(Signal::CONT));
+    assert!(slowest < DRAIN_BOUND - STORE_CALL_TIME, "{slowest:?}");
+}
+
 /// Nodes that reach the store and each other through proxies.
 struct ProxiedFleet {
     cluster: TestCluster,
