Decode the objects of lists and changes one by one

What callers saw: one object of another writer among the registrations stopped all reads of endpoints.

Cause: the body of a list or a watch was decoded as a whole, so half a surrogate pair, 1e999, NaN or deep nesting in one object failed the call, which was then repeated for ever. The reply of a relay failed in the same way, and so did the lists of the entry and agent pair. A change whose content could not be decoded was dropped even if its name could, so that an endpoint whose entry had been overwritten stayed in use.

Why this works: an object is found by its brackets alone, and its content stays text until it is used. Whatever the text holds, its name is known, and it takes the place of the content before. Relays pass the text on as it is, which also saves encoding it for each node.

Ruled out: invalid UTF-8, which was replaced before as well.

--- a/crates/filbertgrade-standins/src/node/store.rs
+++ b/crates/filbertgrade-standins/src/node/store.rs
@@ -62,6 +62,8 @@
     hung_reads: BTreeMap<String, u64>,
     /// Objects and revision that reads accepting stale results return.
     stale: Option<(Objects, u64)>,
+    /// Contents that are sent as they are. An object refers to one by its index.
+    texts: Vec<String>,
     /// Caller that is refused with status 503, while the others are served.
     turned_away: Option<IpAddr>,
     /// Address of the caller that was last served.
@@ -153,6 +155,16 @@
         self.changed.send_replace(revision);
     }
 
+    /// Creates or replaces an object whose content is sent as it is, although it may not be JSON.
+    pub fn put_text(&self, kind: &str, name: &str, text: &str) {
+        let reference = {
+            let mut state = lock(&self.state);
+            state.texts.push(text.to_owned());
+            reference(state.texts.len() - 1)
+        };
+        self.put(kind, name, reference.into());
+    }
+
     /// Removes an object. Returns false if there was none.
     pub fn remove(&self, kind: &str, name: &str) -> bool {
         let mut state = lock(&self.state);
@@ -347,7 +359,7 @@
                 .map(|((_, name), (revision, spec))| object(name, *revision, spec))
                 .collect();
             let list = json!({"items": items, "more": false, "as-of": revision});
-            return reply(StatusCode::OK, &list);
+            return reply_with_texts(&list, &state.texts);
         };
         let mut changed = self.changed.subscribe();
         let deadline = tokio::time::Instant::now() + wait;
@@ -366,7 +378,7 @@
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                     let changes = json!({"events": events, "as-of": state.revision});
-                    return reply(StatusCode::OK, &changes);
+                    return reply_with_texts(&changes, &state.texts);
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
@@ -412,6 +424,20 @@
            "spec": spec, "status": null})
 }
 
+/// Content of an object that stands for a text.
+fn reference(index: usize) -> String {
+    format!("text-{index}-of-the-store")
+}
+
+/// Returns a response whose references are replaced by the texts.
+fn reply_with_texts(body: &Value, texts: &[String]) -> Response<Full<Bytes>> {
+    let mut body = body.to_string();
+    for (index, text) in texts.iter().enumerate() {
+        body = body.replace(&Value::from(reference(index)).to_string(), text);
+    }
+    Response::new(Full::new(body.into()))
+}
+
 fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.to_string().into()));
     *response.status_mut() = status;
--- a/crates/filbertgrade/src/platform/http.rs
+++ b/crates/filbertgrade/src/platform/http.rs
@@ -11,9 +11,11 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::era::{self, Era, NewestEra};
 use super::{Changes, Condition, Object, Platform, PlatformError, Revision};
+use crate::logfmt;
 
 /// Timeout of one call, in addition to the wait of a watch.
 ///
@@ -295,10 +297,12 @@
 
 /// Response to a list, with `objects`, or to a watch, with `changes`.
 #[derive(Deserialize)]
-struct WireChanges {
+struct WireChanges<'a> {
     revision: Revision,
-    #[serde(alias = "objects")]
-    changes: Vec<WireObject>,
+    /// Decoded one by one, so that an object of another writer that cannot be read
+    /// hides no other.
+    #[serde(alias = "objects", borrow)]
+    changes: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -308,10 +312,16 @@
     value: Option<String>,
 }
 
-impl WireChanges {
-    /// Decodes a response of the era; `None` if a revision is too large.
+impl WireChanges<'_> {
+    /// Decodes a response of the era; `None` if a revision is too large. Objects
+    /// that cannot be read are logged and left out.
     fn changes(self, era: Era) -> Option<Changes> {
-        let objects = self.changes.into_iter().map(|object| {
+        let objects = self.changes.into_iter().filter_map(|object| {
+            serde_json::from_str::<WireObject>(object.get())
+                .inspect_err(|error| log_unreadable(error))
+                .ok()
+        });
+        let objects = objects.map(|object| {
             Some(Object {
                 name: object.name,
                 revision: era.revision(object.revision)?,
@@ -325,11 +335,15 @@
     }
 }
 
+fn log_unreadable(error: &serde_json::Error) {
+    log::warn!("event=object_unreadable error={}", logfmt::value(error));
+}
+
 fn decode_changes(name: &str, response: &Response<Bytes>) -> Result<Changes, PlatformError> {
     let malformed =
         |reason: &dyn std::fmt::Display| PlatformError::malformed_response(name, reason);
-    let wire: WireChanges =
-        serde_json::from_slice(response.body()).map_err(|error| malformed(&error))?;
+    let text = String::from_utf8_lossy(response.body());
+    let wire: WireChanges<'_> = serde_json::from_str(&text).map_err(|error| malformed(&error))?;
     Era::of_response(response.headers())
         .and_then(|era| wire.changes(era))
         .ok_or_else(|| malformed(&"a revision or the era is out of range"))
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -34,7 +34,7 @@
             Event::Written(object) => Self {
                 removed: false,
                 revision: object.revision,
-                spec: object.spec.to_string().into(),
+                spec: object.spec,
                 name: object.name,
             },
             Event::Removed(name) => Self {
@@ -46,18 +46,16 @@
     }
 }
 
-impl TryFrom<StoreEvent> for Event {
-    type Error = serde_json::Error;
-
-    fn try_from(wire: StoreEvent) -> Result<Self, serde_json::Error> {
+impl From<StoreEvent> for Event {
+    fn from(wire: StoreEvent) -> Self {
         if wire.removed {
-            return Ok(Self::Removed(wire.name));
+            return Self::Removed(wire.name);
         }
-        Ok(Self::Written(Object {
+        Self::Written(Object {
             name: wire.name,
             revision: wire.revision,
-            spec: serde_json::from_slice(&wire.spec)?,
-        }))
+            spec: wire.spec,
+        })
     }
 }
 
@@ -67,9 +65,6 @@
     /// The relay cannot be reached or did not reply in time.
     #[error(transparent)]
     Link(#[from] crate::connection::LinkError),
-    /// An object in the reply is malformed.
-    #[error("malformed object: {0}")]
-    Object(#[from] serde_json::Error),
     /// The relay has no copy of the kind, or none that the store confirmed
     /// recently.
     #[error("the relay has no recent copy")]
@@ -77,12 +72,11 @@
 }
 
 impl RelayError {
-    /// What the error says about the relay. A reply that cannot be read is no
-    /// better than one without a recent copy.
+    /// What the error says about the relay.
     pub(super) fn failure(&self) -> PullFailure {
         match self {
             Self::Link(_) => PullFailure::Connection,
-            Self::Object(_) | Self::Unavailable => PullFailure::NoRecentCopy,
+            Self::Unavailable => PullFailure::NoRecentCopy,
         }
     }
 }
@@ -244,10 +238,9 @@
         era: wire.era.unwrap_or(revision.map_or(0, |known| known.era)),
         number: wire.revision,
     };
-    let events: Result<Vec<Event>, _> = wire.events.into_iter().map(Event::try_from).collect();
     Ok(Update {
         is_snapshot: wire.snapshot,
-        events: events?,
+        events: wire.events.into_iter().map(Event::from).collect(),
         revision,
         confirmed_at: replied_at.checked_sub(Duration::from_millis(wire.age_ms)),
         unreadable: 0,
--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
-use crate::cluster::{TestCluster, eventually};
+use crate::cluster::{KEY, Node, TestCluster, eventually};
 use filbertgrade_standins::node::store::StoreFault;
 
 /// Memory in KiB that a node may use to control requests, whatever it forwards.
@@ -140,6 +140,72 @@
     assert_eq!(cluster.requests_run(), ran);
 }
 
+/// Entries that another writer may leave among those of the endpoints.
+mod odd_entries {
+    pub(super) const HALF_SURROGATE: &str = r#"{"service":"charts","version":"\udcff\udcfe"}"#;
+    pub(super) const HUGE_NUMBER: &str = r#"{"service":"charts","zone":"north-a","slots":1e999}"#;
+    pub(super) const NOT_A_NUMBER: &str = r#"{"service":"charts","zone":"north-a","slots":NaN}"#;
+    pub(super) const PORT_OUT_OF_RANGE: &str = r#"{"service":"charts","address":"127.0.0.1:70000","zone":"north-a","slots":3,"state":"ready"}"#;
+    /// Lists in lists, where a name is due.
+    pub(super) fn nested(depth: usize) -> String {
+        format!(
+            r#"{{"service":{}{}}}"#,
+            "[".repeat(depth),
+            "]".repeat(depth)
+        )
+    }
+}
+
+/// Guards against one odd entry of another writer that stops nodes from following
+/// the endpoints, ends their processes, or keeps restarted ones from getting ready.
+#[rstest]
+#[case::half_surrogate(odd_entries::HALF_SURROGATE)]
+#[case::huge_number(odd_entries::HUGE_NUMBER)]
+#[case::not_a_number(odd_entries::NOT_A_NUMBER)]
+#[case::port_out_of_range(odd_entries::PORT_OUT_OF_RANGE)]
+#[case::nested(&odd_entries::nested(130))]
+#[case::deeply_nested(&odd_entries::nested(100_000))]
+#[tokio::test]
+async fn odd_entry_costs_no_other_endpoint(#[case] entry: &str) {
+    let mut cluster = TestCluster::with_nodes(&[1, 1], 2).await;
+    cluster.store.put_text("servers", "left-behind", entry);
+    cluster.register(&cluster.endpoints[0], "draining");
+    for node in &cluster.nodes {
+        node.line_with(&["endpoint=i-0 ", "draining=true"]).await;
+    }
+    let late = Node::start("vm-2", cluster.store.address).await;
+    late.wait_ready().await;
+    cluster.nodes.push(late);
+    for node in &cluster.nodes {
+        let mut served = 0;
+        for n in 0..20 {
+            let id = format!("{}-{n}", node.name);
+            let response = node.request("GET", "safe", &id, Some(KEY)).await;
+            served += usize::from(response.body == format!("answer of i-1 to {id}"));
+        }
+        // An attempt at the address that the entry names may fail.
+        assert!(served >= 18, "{}: {served}", node.name);
+        assert!(!node.log().contains("panicked"), "{}", node.log());
+        assert!(node.is_ready().await);
+    }
+}
+
+/// Guards against an endpoint that stays in use after its entry was overwritten by
+/// one that cannot be read.
+#[tokio::test]
+async fn overwritten_entry_names_no_endpoint() {
+    let cluster = TestCluster::with_nodes(&[1], 2).await;
+    cluster
+        .store
+        .put_text("servers", "i-0", odd_entries::HALF_SURROGATE);
+    for node in &cluster.nodes {
+        eventually("no endpoint is left", || async {
+            node.request("GET", "open", "a", None).await.status == 503
+        })
+        .await;
+    }
+}
+
 /// Guards against nodes that keep every version of a large configuration, until
 /// they exceed their memory and running requests are lost with them.
 #[tokio::test]
--- a/crates/filbertgrade/tests/operators/platform.rs
+++ b/crates/filbertgrade/tests/operators/platform.rs
@@ -55,3 +55,26 @@
     let error = client.get("drains/x").await.unwrap_err();
     assert!(error.is_too_long(), "{error}");
 }
+
+/// Guards against one object that hides all others of its list, because another
+/// writer has left bytes in it that cannot be read.
+#[tokio::test]
+async fn unreadable_object_hides_no_other() {
+    const BODY: &str = r#"{"revision":9,"objects":[{"name":"drains/a","revision":3,"value":"{}"},
+        {"name":"drains/b","revision":4,"value":"\udcff"},{"name":"drains/c","revision":1e999,"value":"{}"},
+        {"name":"drains/d","revision":5,"value":"{}"}]}"#;
+    let listener = tokio::net::TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut req = [0; 4096];
+        let _ = stream.read(&mut req).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", BODY.len());
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(BODY.as_bytes()).await;
+    });
+    let client = HttpPlatform::new(address, None);
+    let listed = client.list(&["drains/"]).await.unwrap();
+    let names: Vec<&str> = listed.objects.iter().map(|o| o.name.as_str()).collect();
+    assert_eq!(names, ["drains/a", "drains/d"]);
+}
