--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -146,6 +146,9 @@
     pub(super) const HUGE_NUMBER: &str = r#"{"service":"charts","zone":"north-a","slots":1e999}"#;
     pub(super) const NOT_A_NUMBER: &str = r#"{"service":"charts","zone":"north-a","slots":NaN}"#;
     pub(super) const PORT_OUT_OF_RANGE: &str = r#"{"service":"charts","address":"127.0.0.1:70000","zone":"north-a","slots":3,"state":"ready"}"#;
+    pub(super) const COLD_FOR_EVER: &str = r#"{"service":"charts","address":"127.0.0.1:1","zone":"north-a","slots":3,
+        "state":"ready","cold-remaining-s":9223372036854775807}"#;
+
     /// Lists in lists, where a name is due.
     pub(super) fn nested(depth: usize) -> String {
         format!(
@@ -163,6 +166,7 @@
 #[case::huge_number(odd_entries::HUGE_NUMBER)]
 #[case::not_a_number(odd_entries::NOT_A_NUMBER)]
 #[case::port_out_of_range(odd_entries::PORT_OUT_OF_RANGE)]
+#[case::cold_for_ever(odd_entries::COLD_FOR_EVER)]
 #[case::nested(&odd_entries::nested(130))]
 #[case::deeply_nested(&odd_entries::nested(100_000))]
 #[tokio::test]
