Tie responses of backend servers to their attempt in the entry

What callers saw (in a test; reported by operators of similar systems): a backend server wrote an earlier response once more on a kept connection.

Cause: the entry took whatever arrived first on a used connection for the response to its request; the interface had no id to tell them apart. Extra bytes close an idle connection only.

Why this works: each attempt has a random x-attempt-id, which the server repeats. Another id, or none on a used connection, belongs to no request: the connection is closed and the outcome is unknown. A connection whose response has no id is not used again.

--- a/crates/filbertgrade-standins/src/backend.rs
+++ b/crates/filbertgrade-standins/src/backend.rs
@@ -633,6 +633,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived = Instant::now();
+    let attempt_id = req.headers().get("x-attempt-id").cloned();
     let mut response = match (req.method(), req.uri().path()) {
         (&Method::GET, "/load") => load_response(&shared),
         (&Method::GET, "/health") => health_response(&shared),
@@ -644,6 +645,9 @@
     if let Some(limit) = rate_limit {
         headers.insert("x-rate-limit", header(&limit.to_string()));
     }
+    if let Some(id) = attempt_id {
+        headers.insert("x-attempt-id", id);
+    }
     headers.insert("x-load", header(&format!("{load:.3}")));
     headers.insert("x-backend", header(&shared.cfg.name));
     Ok(response)
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use super::Entry;
-use super::response::{Body, ResponseStream};
+use super::response::{Body, ResponseConnection, ResponseStream};
 use super::slots::{EndpointFault, SlotCriteria, SlotGrant};
 use crate::connection::{Busy, CheckoutParams, Connection, PoolError};
 use crate::logfmt;
@@ -33,6 +33,9 @@
 /// from all entries together.
 const RATE_LIMIT_HEADER: &str = "x-rate-limit";
 
+/// Header with the [`AttemptId`] of a request.
+const ATTEMPT_ID_HEADER: &str = "x-attempt-id";
+
 /// Longest time for reading the rest of an upload after its request was
 /// refused.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -351,7 +354,8 @@
         }
     };
     let (body, body_sent) = call.upload.body();
-    let Some(req) = build_request(call, endpoint, body) else {
+    let id = AttemptId::random();
+    let Some(req) = build_request(call, endpoint, &id, body) else {
         return Err(not_sent(Failure::DeadlinePassed));
     };
     if let Some(claim) = claim {
@@ -383,6 +387,13 @@
         Ok(started) => started.state(),
         Err(_) => return Err(not_sent(Failure::ConnectionLost { reused: true })),
     };
+    let echo = id.echo_in(&response);
+    if echo == Echo::Other || (echo == Echo::Missing && connection.is_reused()) {
+        log::warn!("event=foreign_response backend={endpoint}");
+        let failure = Failure::MalformedResponse;
+        return Err(FailedAttempt { failure, state });
+    }
+    let is_reusable = echo == Echo::Own;
     if let Some(rate) = endpoint_rate(&response) {
         slot.record_rate(rate);
     }
@@ -391,7 +402,7 @@
             Failure::Draining => EndpointFault::Draining,
             _ => EndpointFault::Shed,
         });
-        if response.body().is_end_stream() && body_sent.load(Ordering::Acquire) {
+        if is_reusable && response.body().is_end_stream() && body_sent.load(Ordering::Acquire) {
             entry.pool.put_back(connection.finish(Instant::now()));
         }
         return Err(FailedAttempt { failure, state });
@@ -402,7 +413,13 @@
     }
     let (mut parts, body) = response.into_parts();
     request::remove_hop_by_hop(&mut parts.headers);
-    let stream = ResponseStream::new(entry, body, connection, body_sent, slot, call.deadline);
+    parts.headers.remove(ATTEMPT_ID_HEADER);
+    let connection = ResponseConnection {
+        connection,
+        request_sent: body_sent,
+        is_reusable,
+    };
+    let stream = ResponseStream::new(entry, body, connection, slot, call.deadline);
     Ok(Response::from_parts(parts, stream.boxed_unsync()))
 }
 
@@ -432,6 +449,7 @@
 fn build_request(
     call: &Call<'_>,
     endpoint: SocketAddr,
+    id: &AttemptId,
     body: request::UploadBody<Incoming>,
 ) -> Option<Request<crate::connection::RequestBody>> {
     let time_left = remaining_time(call);
@@ -450,6 +468,7 @@
     headers.insert(HOST, HeaderValue::from_str(&endpoint.to_string()).ok()?);
     let time_left = u64::try_from(time_left.as_millis()).ok()?;
     headers.insert(DEADLINE_HEADER, HeaderValue::from(time_left));
+    headers.insert(ATTEMPT_ID_HEADER, id.0.clone());
     if chunked {
         // hyper omits the body of a GET request without this header.
         headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
@@ -457,6 +476,38 @@
     Some(req)
 }
 
+/// Random id of one attempt, which a backend server repeats in its response.
+///
+/// A backend server may send a response twice. The second copy arrives where the
+/// response to the next request is due, and only the id tells them apart.
+#[derive(Debug)]
+struct AttemptId(HeaderValue);
+
+/// The id of an attempt in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Echo {
+    /// It is that of this attempt.
+    Own,
+    /// It is that of another one.
+    Other,
+    /// The response has none.
+    Missing,
+}
+
+impl AttemptId {
+    fn random() -> Self {
+        Self(HeaderValue::from(rand::random::<u64>()))
+    }
+
+    fn echo_in(&self, response: &Response<Incoming>) -> Echo {
+        match response.headers().get(ATTEMPT_ID_HEADER) {
+            None => Echo::Missing,
+            Some(id) if *id == self.0 => Echo::Own,
+            Some(_) => Echo::Other,
+        }
+    }
+}
+
 fn remaining_time(call: &Call<'_>) -> Duration {
     call.deadline.saturating_duration_since(Instant::now())
 }
--- a/crates/filbertgrade/src/process/entry/response.rs
+++ b/crates/filbertgrade/src/process/entry/response.rs
@@ -51,9 +51,22 @@
     /// Set once the whole request has been sent. Otherwise the connection
     /// cannot be reused.
     request_sent: Arc<AtomicBool>,
+    /// The response is known to belong to the request.
+    is_reusable: bool,
     entry: Arc<Entry>,
 }
 
+/// Connection on which a response arrives.
+#[derive(Debug)]
+pub(crate) struct ResponseConnection {
+    pub(crate) connection: Connection<Busy>,
+    /// Set once the whole request has been sent.
+    pub(crate) request_sent: Arc<AtomicBool>,
+    /// The backend server has repeated the id of the attempt. Otherwise a second
+    /// copy of the response could be taken for that of the next request.
+    pub(crate) is_reusable: bool,
+}
+
 /// Resources that a response occupies until it has been forwarded.
 #[derive(Debug)]
 struct HeldResources {
@@ -69,13 +82,12 @@
     pub(crate) fn new(
         entry: &Arc<Entry>,
         inner: Incoming,
-        connection: Connection<Busy>,
-        request_sent: Arc<AtomicBool>,
+        connection: ResponseConnection,
         slot: SlotGrant,
         deadline: Instant,
     ) -> Self {
         let resources = Arc::new(Mutex::new(HeldResources {
-            connection: Some(connection),
+            connection: Some(connection.connection),
             slot: Some(slot),
             expired: false,
         }));
@@ -84,7 +96,8 @@
             inner,
             resources,
             timer,
-            request_sent,
+            request_sent: connection.request_sent,
+            is_reusable: connection.is_reusable,
             entry: Arc::clone(entry),
         };
         stream.finish_if_ended();
@@ -102,6 +115,7 @@
     fn finish(&mut self) {
         let connection = lock(&self.resources).connection.take();
         if let Some(connection) = connection
+            && self.is_reusable
             && self.request_sent.load(Ordering::Acquire)
         {
             self.entry.pool.put_back(connection.finish(Instant::now()));
--- a/crates/filbertgrade/tests/node/bad_bytes.rs
+++ b/crates/filbertgrade/tests/node/bad_bytes.rs
@@ -255,10 +255,14 @@
     .await;
 }
 
-/// Guards against an order that runs at two endpoints, because the late second
-/// copy of a refusal without an id is taken for the response to it.
+/// Guards against an order that runs at two endpoints, or is refused although it
+/// ran, because the late second copy of an earlier refusal is taken for the response
+/// to it.
+#[rstest]
+#[case::without_id(false)]
+#[case::with_the_id_of_the_earlier_order(true)]
 #[tokio::test]
-async fn late_copy_of_a_refusal_does_not_repeat_an_order() {
+async fn late_copy_of_a_refusal_does_not_repeat_an_order(#[case] has_id: bool) {
     let mut cluster = TestCluster::start(&[1]).await;
     cluster.configure(|spec| spec["tenants"][0]["rate-per-s"] = json!(0));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -269,7 +273,7 @@
     let ran = Arc::clone(&ran_here);
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve_with_copies(stream, Arc::clone(&ran)));
+            tokio::spawn(serve_with_copies(stream, has_id, Arc::clone(&ran)));
         }
     });
     let version = format!("configuration_in_force version={} ", cluster.version());
@@ -286,17 +290,24 @@
         stream.write_all(head.as_bytes()).await.unwrap();
         let mut response = Vec::new();
         let _ = stream.read_to_end(&mut response).await;
+        let response = String::from_utf8_lossy(&response);
+        assert!(!response.starts_with("HTTP/1.1 503"), "{response}");
     }
     let ran = ran_here.load(Ordering::SeqCst) + cluster.requests_run();
     assert!(ran_here.load(Ordering::SeqCst) >= 6);
     assert!(ran <= sent, "{sent} orders ran {ran} times");
 }
 
-/// Runs every request of a connection. Before the response to each but the
-/// first, sends a refusal without an id, as the second copy of an earlier one.
-async fn serve_with_copies(mut stream: TcpStream, ran: Arc<AtomicUsize>) -> std::io::Result<()> {
+/// Runs every request of a connection. Before the response to each but the first,
+/// sends a refusal as the second copy of one to the first request, whose id it has if
+/// `has_id`.
+async fn serve_with_copies(
+    mut stream: TcpStream,
+    has_id: bool,
+    ran: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
     let mut buf = vec![0; 16 * 1024];
-    let mut is_first = true;
+    let mut first_id = None;
     loop {
         let n = stream.read(&mut buf).await?;
         if n == 0 {
@@ -305,13 +316,64 @@
         let head = String::from_utf8_lossy(&buf[..n]).to_lowercase();
         let id = filbertgrade_standins::node::endpoint::header(&head, "x-filbertgrade-request-id");
         ran.fetch_add(1, Ordering::SeqCst);
-        if !is_first {
-            let copy =
-                "HTTP/1.1 503 Busy\r\nx-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+        let first = first_id.get_or_insert_with(|| id.clone()).clone();
+        if first != id {
+            let id_line = if has_id {
+                format!("x-filbertgrade-request-id: {first}\r\n")
+            } else {
+                String::new()
+            };
+            let copy = format!(
+                "HTTP/1.1 503 Busy\r\n{id_line}x-filbertgrade-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+            );
             stream.write_all(copy.as_bytes()).await?;
         }
-        is_first = false;
         let response = GOOD_HEAD.replace("ID", &id) + "content-length: 2\r\n\r\nok";
         stream.write_all(response.as_bytes()).await?;
     }
 }
+
+/// Guards against a response that looks whole to the caller although the endpoint
+/// stopped in the middle of its head and closed the connection.
+#[rstest]
+#[case::status_line("HTTP/1.1 200")]
+#[case::no_header("HTTP/1.1 200 OK\r\n")]
+#[case::seal_without_the_rest("GOOD")]
+#[case::header_name("GOODcontent-len")]
+#[case::header_value("GOODcontent-length: 1")]
+#[case::no_empty_line("GOODcontent-length: 10\r\n")]
+#[case::half_of_the_empty_line("GOODcontent-length: 10\r\n\r")]
+#[case::chunked("GOODtransfer-encoding: chunked\r\n")]
+#[case::closing("GOODconnection: close\r\n")]
+#[tokio::test]
+async fn head_that_stops_is_no_response(
+    #[case] head: &'static str,
+    #[values("safe", "order")] route: &str,
+) {
+    let cluster = TestCluster::start(&[]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let spec = json!({"service": "charts", "address": listener.local_addr().unwrap().to_string(), "zone": "north-a",
+                      "version": "v1", "slots": 30, "state": "ready", "cold-remaining-s": 0, "seq-no": 1, "born": 5});
+    cluster.store.put("servers", "i-stops", spec);
+    cluster.nodes[0]
+        .line_with(&["event=endpoint_registered endpoint=i-stops"])
+        .await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = vec![0; 16 * 1024];
+            let n = stream.read(&mut buf).await.unwrap();
+            let request = String::from_utf8_lossy(&buf[..n]).to_lowercase();
+            let id = filbertgrade_standins::node::endpoint::header(
+                &request,
+                "x-filbertgrade-request-id",
+            );
+            let head = head.replace("GOOD", GOOD_HEAD).replace("ID", &id);
+            stream.write_all(head.as_bytes()).await.unwrap();
+        }
+    });
+    let method = if route == "order" { "POST" } else { "GET" };
+    let response = cluster.nodes[0]
+        .request(method, route, "a", Some(KEY))
+        .await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
--- a/crates/filbertgrade/tests/path/bad_responses.rs
+++ b/crates/filbertgrade/tests/path/bad_responses.rs
@@ -1,6 +1,8 @@
 //! Tests with backend servers whose responses violate the protocol.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +12,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use filbertgrade_standins::node::endpoint::header;
+
 use crate::fleet::{Fleet, send};
 use crate::scenario::ready_fleet;
 
@@ -62,6 +66,9 @@
 #[case::ends_with_the_connection("HTTP/1.1 200 OK\r\n\r\npart of an answer")]
 #[case::not_http("hello\r\n\r\n")]
 #[case::head_is_truncated("HTTP/1.1 200 OK\r\nx-part:")]
+#[case::head_without_its_last_line("HTTP/1.1 200 OK\r\nx-attempt-id: 5\r\n")]
+#[case::head_without_its_empty_line("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n")]
+#[case::half_of_the_empty_line("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r")]
 #[case::unknown_length("HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\nabc")]
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_response_is_reported_as_outcome_unknown(#[case] response: &'static str) {
@@ -87,3 +94,82 @@
         assert_ne!(response.body(), "wrong");
     }
 }
+
+/// Starts a server that runs every request. Before the response to each but the
+/// first of a connection, it sends a second copy of `earlier`. It repeats the id of
+/// an attempt if `repeats_ids`; `ID` in `earlier` stands for that of the first one.
+async fn start_copying_server(
+    earlier: &'static str,
+    repeats_ids: bool,
+    ran: Arc<AtomicUsize>,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let ran = Arc::clone(&ran);
+            tokio::spawn(async move {
+                let mut buf = vec![0; 8192];
+                let mut first_id: Option<String> = None;
+                while let Ok(n @ 1..) = stream.read(&mut buf).await {
+                    let head = String::from_utf8_lossy(&buf[..n]).to_lowercase();
+                    let id = header(&head, "x-attempt-id");
+                    ran.fetch_add(1, Ordering::SeqCst);
+                    if let Some(first) = &first_id {
+                        let copy = earlier.replace("ID", first);
+                        stream.write_all(copy.as_bytes()).await.unwrap();
+                    }
+                    first_id.get_or_insert_with(|| id.clone());
+                    let id_line = if repeats_ids {
+                        format!("x-attempt-id: {id}\r\n")
+                    } else {
+                        String::new()
+                    };
+                    let response =
+                        format!("HTTP/1.1 200 OK\r\n{id_line}content-length: 3\r\n\r\nown");
+                    stream.write_all(response.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a second copy of an earlier response that is taken for the
+/// response to the next request: the caller would get a foreign body, or learn that
+/// an order has not run that has.
+#[rstest]
+#[case::refusal_with_its_id(
+    "HTTP/1.1 503 Busy\r\nx-shed: 1\r\nx-attempt-id: ID\r\ncontent-length: 0\r\n\r\n",
+    true
+)]
+#[case::refusal_without_id("HTTP/1.1 503 Busy\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n", true)]
+#[case::response_with_its_id(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: ID\r\ncontent-length: 7\r\n\r\nforeign",
+    true
+)]
+#[case::no_ids("HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nforeign", false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_a_response_reaches_no_other_request(
+    #[case] earlier: &'static str,
+    #[case] repeats_ids: bool,
+) {
+    let (fleet, secret) = ready_fleet(1).await;
+    let ran = Arc::new(AtomicUsize::new(0));
+    let address = start_copying_server(earlier, repeats_ids, Arc::clone(&ran)).await;
+    for proxy in &fleet.proxies {
+        proxy.set_forward_to(address);
+        proxy.reset_open();
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for n in 1..=20 {
+        let response = send_request(&fleet, &secret, "POST").await;
+        let status = response.status().as_u16();
+        assert!(matches!(status, 200 | 502), "request {n}: {response:?}");
+        if status == 200 {
+            assert_eq!(response.body(), "own");
+            assert!(!response.headers().contains_key("x-attempt-id"));
+        }
+        assert!(ran.load(Ordering::SeqCst) <= n, "an order ran twice");
+    }
+}
