Follow what endpoints say of their end and of pauses in their responses

Cause: no node read either header.

Evidence: tests/node/notices.rs, 10 of 11 cases failed before and pass now, three times in a row; tests/steering/notices.rs passes.

Why this works: the notices are kept apart from the estimates, by the endpoint's id and start, so that a registration, a relay's list or a restored store cannot take them back, and a new process at the address is not bound by them. A leaving endpoint counts as draining everywhere. A pause ends availability like an ejection; a later and shorter one does not shorten it. Both are looked at again before a request is sent that waited for a connection. If all endpoints pause, the refusal is prompt and names the end of the shortest pause.

Not done: the entry and agent pair, whose interface has neither header; the soak; telling other nodes of a notice.

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -73,6 +73,9 @@
     pub(super) cold_limit: Option<ColdStartLimit>,
     /// The rate that it names; `None` if it has never named one.
     pub(super) limit: Option<EndpointLimit>,
+    /// Largest number of requests of this VM at the endpoint after it has paused,
+    /// which grows with each response; `None` once it no longer binds.
+    pub(super) return_window: Option<u32>,
 }
 
 /// The ejection of an endpoint that could not be reached. It receives nothing
@@ -104,9 +107,24 @@
             cold_until: None,
             cold_limit: None,
             limit: None,
+            return_window: None,
         }
     }
 
+    /// Makes this VM return with one request at a time after a pause, and with one
+    /// more after each response.
+    pub(super) fn limit_return(&mut self) {
+        self.return_window = Some(1);
+    }
+
+    /// Widens the window after a pause; it ends once it covers all slots.
+    fn widen_return_window(&mut self) {
+        self.return_window = self
+            .return_window
+            .map(|window| window + 1)
+            .filter(|window| *window < self.endpoint.slots);
+    }
+
     /// Marks the endpoint as cold for at least `time` from now.
     pub(super) fn mark_cold(&mut self, time: Duration, now: Instant) {
         if time > Duration::ZERO {
@@ -134,8 +152,14 @@
     }
 
     /// Reports whether a request may be sent now, as far as ejection, cold start,
-    /// and the rate that the endpoint names are concerned.
+    /// the return after a pause, and the rate that the endpoint names are concerned.
     pub(super) fn is_available(&self, now: Instant) -> bool {
+        if self
+            .return_window
+            .is_some_and(|window| self.in_flight >= window)
+        {
+            return false;
+        }
         if self
             .ejection
             .is_some_and(|ejection| ejection.probing || now < ejection.until)
@@ -187,6 +211,7 @@
         match outcome {
             Outcome::Responded { latency, failed } => {
                 self.ejection = None;
+                self.widen_return_window();
                 self.record_failure(failed, now);
                 self.record_latency(target, latency, now);
                 self.capacity = (self.capacity + 0.1)
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -7,6 +7,7 @@
 
 mod endpoint_state;
 mod limits;
+mod notices;
 mod ranking;
 mod request;
 mod service_state;
@@ -17,6 +18,8 @@
 
 use self::endpoint_state::EndpointState;
 use self::limits::LimitSharing;
+use self::notices::EndpointNotices;
+pub use self::notices::Pause;
 pub use self::request::{
     LimitedEndpoints, LoadReport, Outcome, Pick, PickRefusal, PickRequest, Target,
 };
@@ -49,6 +52,10 @@
 const RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
 
+/// Longest delay that callers are given because of pauses, without the spread.
+/// Endpoints may be added before a longer one ends.
+const LONGEST_PAUSE_RETRY: Duration = Duration::from_secs(10);
+
 /// One in this many requests that leave the region of their preferred endpoint
 /// moves its object's affinity, and with it all later requests for the object.
 const SPILLS_PER_MOVE: u64 = 4;
@@ -89,6 +96,8 @@
     round_trips: HashMap<RegionName, f64>,
     /// Rates that endpoints name, as far as other VMs are concerned.
     limits: LimitSharing,
+    /// What endpoints have said of themselves.
+    notices: EndpointNotices,
 }
 
 impl Balancer {
@@ -106,6 +115,7 @@
             affinities: AffinityTable::default(),
             round_trips: HashMap::new(),
             limits: LimitSharing::default(),
+            notices: EndpointNotices::default(),
         }
     }
 
@@ -147,6 +157,7 @@
                 }
                 None => EndpointState::new(endpoint, region.clone(), now),
             };
+            state.endpoint.draining |= self.notices.is_leaving(&endpoint.key);
             state.mark_cold(endpoint.cold_for, now);
             self.services
                 .entry(endpoint.service.clone())
@@ -230,6 +241,10 @@
         if ranking.is_empty() {
             return Pick::Refuse(PickRefusal::NoEndpoint);
         }
+        if let Some(until) = self.end_of_pauses(request.service, &ranking, now) {
+            let wait = until.saturating_duration_since(now);
+            return Pick::Refuse(PickRefusal::Busy(after_pause(wait, request.object)));
+        }
         if let Some(candidate) = self.granted_candidate(service, request, &ranking, now) {
             let is_preferred = candidate.index == ranking[0];
             return Pick::Send(self.start_request(request, candidate, is_preferred, now));
@@ -241,12 +256,13 @@
         // The spill limit applies only while the preferred endpoint is
         // available and lacks a free slot, not when it cannot be used at all.
         let preferred = &service.endpoints[ranking[0]];
-        let spills = preferred.is_available(now)
+        let is_available = self.is_available(preferred, now);
+        let spills = is_available
             && candidate.is_some_and(|candidate| {
                 service.endpoints[candidate.index].region != preferred.region
             });
         // An endpoint over its limit must not lose all its objects at once.
-        let overflows = preferred.is_limited() && !preferred.is_available(now);
+        let overflows = preferred.is_limited() && !is_available;
         let spill = spill_config(&self.cfg);
         let time_left = request.time_left.as_secs_f64() * TIME_LEFT_USED;
         let mut sets_affinity = !spills && !overflows;
@@ -273,13 +289,14 @@
 
     /// Reports whether a request may still be sent to the endpoint that was
     /// picked for it. While it waited for a connection, the endpoint may have
-    /// started to drain, left, moved, or been evacuated, and a token of its limit
-    /// may have expired.
+    /// started to drain or to pause, left, moved, or been evacuated, and a token of
+    /// its limit may have expired.
     pub fn may_still_send(&self, target: &Target, now: Instant) -> bool {
         let service = self.services.get(&target.service);
         let state = service.and_then(|service| service.endpoints.get(&target.key));
         state.is_some_and(|state| {
             !state.endpoint.draining
+                && self.notices.pause(&target.key, now).is_none()
                 && target
                     .token_at
                     .is_none_or(|at| endpoint_limit::is_token_valid(at, now))
@@ -343,6 +360,7 @@
                     slowness: state.decayed(state.slowness, 1.0, now),
                     ejected: state.ejection.is_some_and(|ejection| now < ejection.until),
                     cold: state.is_cold(now),
+                    pause: self.notices.pause(&state.endpoint.key, now),
                     rate: state
                         .limit
                         .as_ref()
@@ -351,6 +369,12 @@
         })
     }
 
+    /// Reports whether a request may be sent to an endpoint now, as far as the
+    /// endpoint's own state is concerned.
+    fn is_available(&self, state: &EndpointState, now: Instant) -> bool {
+        state.is_available(now) && self.notices.pause(&state.endpoint.key, now).is_none()
+    }
+
     /// Returns the endpoint for which the request has a token, if it may still be
     /// sent there.
     fn granted_candidate(
@@ -519,6 +543,8 @@
     pub ejected: bool,
     /// It has just started, and its request rate is limited.
     pub cold: bool,
+    /// The time in which it wants no requests from this VM.
+    pub pause: Option<Pause>,
     /// The rate that it names for all VMs together.
     pub rate: EndpointRate,
 }
@@ -545,3 +571,11 @@
     let spread = base.mul_f64(unit_interval(score(spread, 1)));
     (wait + base / 2 + spread).min(longest)
 }
+
+/// Returns the delay after which a caller should retry that is refused because all
+/// endpoints pause for at least `wait`, with a spread as in [`retry_after`].
+fn after_pause(wait: Duration, spread: u64) -> Duration {
+    let (base, _) = RETRY_AFTER;
+    let spread = base.mul_f64(unit_interval(score(spread, 1)));
+    wait.min(LONGEST_PAUSE_RETRY) + base / 2 + spread
+}
--- a/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
@@ -231,7 +231,7 @@
         now: Instant,
     ) -> Option<Candidate> {
         let (_, state) = service.endpoints.get_index(index)?;
-        if !state.is_available(now) {
+        if !self.is_available(state, now) {
             return None;
         }
         let load = state.load(now);
--- a/crates/filbertgrade-coord/tests/steering/main.rs
+++ b/crates/filbertgrade-coord/tests/steering/main.rs
@@ -12,5 +12,6 @@
 mod following;
 mod limits;
 mod load;
+mod notices;
 mod registry;
 mod scene;
--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a backend server of the platform, with configurable faults.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -52,6 +53,12 @@
     runs: Arc<Mutex<Vec<Run>>>,
     /// Requests a second that it names as its limit in each response.
     rate_limit: Arc<Mutex<Option<f64>>>,
+    /// It announces its end in each response.
+    leaving: Arc<AtomicBool>,
+    /// Time in seconds that it asks for with each refusal, as it stands in the header.
+    pause: Arc<Mutex<Option<String>>>,
+    /// When each request arrived, also those that it refused.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
 /// A run of a request at an endpoint.
@@ -78,6 +85,9 @@
             service_time,
             runs: Arc::default(),
             rate_limit: Arc::default(),
+            leaving: Arc::default(),
+            pause: Arc::default(),
+            arrivals: Arc::default(),
         };
         let serving = endpoint.clone();
         tokio::spawn(async move {
@@ -101,11 +111,37 @@
         *lock(&self.rate_limit) = per_second;
     }
 
-    /// Returns the header line that names the limit; empty if there is none.
-    fn rate_limit_line(&self) -> String {
-        lock(&self.rate_limit).map_or(String::new(), |limit| {
+    /// Announces its end in each response from now on, or not.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::SeqCst);
+    }
+
+    /// Sets the time in seconds for which it wants no requests after each refusal.
+    pub fn set_pause(&self, seconds: Option<&str>) {
+        *lock(&self.pause) = seconds.map(str::to_owned);
+    }
+
+    /// Returns when each request so far arrived, also those that it refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.arrivals).clone()
+    }
+
+    /// Returns the header lines that say something of the endpoint itself: its limit, and that it
+    /// leaves.
+    fn own_lines(&self) -> String {
+        let mut lines = lock(&self.rate_limit).map_or(String::new(), |limit| {
             format!("x-filbertgrade-server-limit: {limit}\r\n")
-        })
+        });
+        if self.leaving.load(Ordering::SeqCst) {
+            lines.push_str("server-leaving: 1\r\n");
+        }
+        lines
+    }
+
+    /// Returns the header line that asks for a pause; empty if there is none.
+    fn pause_line(&self) -> String {
+        let pause = lock(&self.pause).clone();
+        pause.map_or(String::new(), |time| format!("retry-after: {time}\r\n"))
     }
 
     /// Returns the request lines and headers of all runs so far, in lower case.
@@ -129,19 +165,21 @@
                 return Ok(());
             };
             let behavior = *lock(&self.behavior);
-            let limit = self.rate_limit_line();
+            let own = self.own_lines();
+            lock(&self.arrivals).push(Instant::now());
             let id = header(&head, "x-filbertgrade-request-id");
             match behavior {
                 EndpointBehavior::Refuses => {
+                    let pause = self.pause_line();
                     let response = format!(
-                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{limit}content-length: 0\r\n\r\n"
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}{pause}content-length: 0\r\n\r\n"
                     );
                     stream.write_all(response.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::RefusesAtLength => {
                     let head = format!(
-                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{limit}content-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
+                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}content-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
                     );
                     stream.write_all(head.as_bytes()).await?;
                     stream.write_all(&vec![b'x'; LONG_REFUSAL_BYTES]).await?;
@@ -159,7 +197,7 @@
             let at = Instant::now();
             lock(&self.runs).push(Run { head, at });
             tokio::time::sleep(self.service_time).await;
-            let limit = self.rate_limit_line();
+            let own = self.own_lines();
             match behavior {
                 EndpointBehavior::LosesAnswer => return Ok(()),
                 EndpointBehavior::Silent => std::future::pending().await,
@@ -182,7 +220,7 @@
             };
             let body = format!("answer of {} to {response_id}", self.id);
             let response = format!(
-                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\n{limit}content-length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\n{own}content-length: {}\r\n\r\n",
                 body.len()
             );
             stream.write_all(response.as_bytes()).await?;
--- a/crates/filbertgrade/src/explain/mod.rs
+++ b/crates/filbertgrade/src/explain/mod.rs
@@ -16,7 +16,7 @@
 
 /// Events that show the state of a process, for example its configuration
 /// version. The last of each before a line of the request is kept as context.
-const CONTEXT_EVENTS: [&str; 9] = [
+const CONTEXT_EVENTS: [&str; 11] = [
     "node_started",
     "configuration_in_force",
     "evacuations_in_force",
@@ -26,6 +26,8 @@
     "store_regained",
     "relay_failed",
     "vm_suspended",
+    "endpoint_leaving",
+    "endpoint_pauses",
 ];
 
 /// A longer line is truncated to this number of characters.
--- a/crates/filbertgrade/src/platform/http.rs
+++ b/crates/filbertgrade/src/platform/http.rs
@@ -318,7 +318,7 @@
     fn changes(self, era: Era) -> Option<Changes> {
         let objects = self.changes.into_iter().filter_map(|object| {
             serde_json::from_str::<WireObject>(object.get())
-                .inspect_err(|error| log_unreadable(error))
+                .inspect_err(log_unreadable)
                 .ok()
         });
         let objects = objects.map(|object| {
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -13,7 +13,7 @@
 use super::body::{BufferedBody, buffer_body};
 use super::request::{Call, is_key_valid};
 use super::responses::{self, Body, StreamedResponse};
-use super::{Node, endpoint_rates};
+use super::{Node, endpoint_rates, notices};
 use crate::connection::{Busy, CheckoutParams, Connection, PoolError, RequestBody};
 use crate::logfmt;
 use crate::request::{AttemptState, Failure};
@@ -191,6 +191,7 @@
         return no_response(&mut attempt, call, failure, AttemptState::FullySent);
     }
     endpoint_rates::record(node, call, &attempt.target.key, &head);
+    notices::record(node, call, &attempt.target.key, &head);
     let idle_limit = idle_limit(&head);
     let buffered = match buffer_response(parts, body, call).await {
         Ok(buffered) => buffered,
--- a/crates/filbertgrade/src/process/node/dump.rs
+++ b/crates/filbertgrade/src/process/node/dump.rs
@@ -1,7 +1,7 @@
 //! Readiness, metrics and dump of a node, as shown on its operator port.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::VmName;
 use serde_json::{Value, json};
@@ -78,8 +78,14 @@
                 "slowness": estimate.slowness,
                 "resting": estimate.ejected,
                 "cold": estimate.cold,
+                "pausing_since_ms": estimate.pause.map(|pause| millis(now.saturating_duration_since(pause.since))),
+                "pausing_for_ms": estimate.pause.map(|pause| millis(pause.until.saturating_duration_since(now))),
                 "rate_limit": estimate.rate.per_second(),
             })
         })
         .collect()
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -13,6 +13,7 @@
 mod dump;
 mod endpoint_rates;
 mod heartbeat;
+mod notices;
 mod relay;
 mod request;
 mod responses;
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod endpoint_limits;
 mod explain;
 mod fleet;
+mod notices;
 mod outage;
 mod permissions;
 mod requests;
