Order an endpoint's registrations by its own numbers

Cause: what the store holds was taken for what the endpoint said last. The numbers of an endpoint's writes were compared only in lists after a restore.

Why this works: a registration with a lower number from the same start of the endpoint has no effect, wherever it comes from, and neither has one at or below the number of a removed registration. A registration that had only lapsed comes back with a higher number.

--- a/crates/filbertgrade-coord/src/steering/registry.rs
+++ b/crates/filbertgrade-coord/src/steering/registry.rs
@@ -6,7 +6,8 @@
 //!
 //! Also handles a store that is restored from a copy: registrations that are newer
 //! than the copy are missing until they are written again, and endpoints that have
-//! left since are named as if they were ready.
+//! left since are named as if they were ready. The same happens when the store
+//! executes a write of an endpoint late, after the endpoint's next ones.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -21,10 +22,6 @@
 /// were removed, so that they can register again.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
-/// How long after a restore of the store lists may name endpoints that have left.
-/// The store removes their registrations after three missing heartbeats.
-const STALE_LIST_TIME: Duration = Duration::from_secs(30);
-
 /// Largest number of removed endpoints that are remembered.
 const MAX_REMOVED: usize = 10_000;
 
@@ -69,8 +66,8 @@
     /// are not in the list are treated as removed; see [`Registry::apply`]. A list
     /// older than the registry is ignored.
     ///
-    /// After a restore of the store, a registration that is older than what is known
-    /// of its endpoint has no effect.
+    /// A registration that is older than what is known of its endpoint has no effect,
+    /// as in [`Registry::apply`].
     pub fn replace(
         &mut self,
         list: Vec<(Arc<str>, Option<Endpoint>)>,
@@ -84,7 +81,6 @@
         if revision.era > self.revision.era && !self.entries.is_empty() {
             self.restored_at = Some(now);
         }
-        let list = self.without_stale_entries(list, now);
         let mut missing: Vec<Arc<str>> = self.entries.keys().cloned().collect();
         missing.retain(|id| !list.iter().any(|(listed, _)| listed == id));
         let written = list
@@ -97,6 +93,10 @@
     /// Applies changes up to `revision`. Changes older than the registry are
     /// ignored.
     ///
+    /// A registration with a lower number than the known one has no effect, although
+    /// it is newer in the store: a write that got no response may be executed seconds
+    /// later, or a restored store may return it.
+    ///
     /// `outage_ended_at` is the end of the last outage of the store. Within
     /// [`REREGISTRATION_GRACE`] of it, or of a restore of the store, endpoints whose
     /// registrations are removed are kept, unless they are draining.
@@ -123,18 +123,22 @@
 
     fn apply_one(&mut self, change: RegistryChange, keep_until: Option<Instant>) {
         match change {
-            RegistryChange::Written(id, Some(endpoint)) => {
-                let expires_at = None;
-                self.entries.insert(
-                    id,
-                    Entry {
-                        endpoint,
-                        expires_at,
-                    },
-                );
-            }
-            RegistryChange::Written(id, None) => {
-                self.entries.remove(&id);
+            RegistryChange::Written(id, endpoint) => {
+                match endpoint.and_then(|endpoint| self.newest(endpoint)) {
+                    Some(endpoint) => {
+                        let expires_at = None;
+                        self.entries.insert(
+                            id,
+                            Entry {
+                                endpoint,
+                                expires_at,
+                            },
+                        );
+                    }
+                    None => {
+                        self.entries.remove(&id);
+                    }
+                }
             }
             RegistryChange::Removed(id) => self.remove(&id, keep_until),
         }
@@ -166,40 +170,18 @@
         }
     }
 
-    /// Replaces registrations in a list that are older than what is known of their
-    /// endpoints, if the store was restored recently: those of endpoints that have
-    /// left are dropped, and the known ones take the place of the others.
-    fn without_stale_entries(
-        &self,
-        list: Vec<(Arc<str>, Option<Endpoint>)>,
-        now: Instant,
-    ) -> Vec<(Arc<str>, Option<Endpoint>)> {
-        if self
-            .restored_at
-            .is_none_or(|at| now.saturating_duration_since(at) > STALE_LIST_TIME)
-        {
-            return list;
-        }
-        let list = list.into_iter();
-        list.filter_map(|(id, listed)| match listed {
-            Some(listed) => Some((id, Some(self.newest(listed)?))),
-            None => Some((id, None)),
-        })
-        .collect()
-    }
-
-    /// Returns the newest known registration of a listed endpoint, or `None` if it
-    /// has left.
-    fn newest(&self, listed: Endpoint) -> Option<Endpoint> {
-        let removed_at = self.removed.get(&listed.key);
-        if removed_at.is_some_and(|removed| listed.sequence <= Some(*removed)) {
+    /// Returns the newest known registration of an endpoint, or `None` if it has
+    /// left.
+    fn newest(&self, written: Endpoint) -> Option<Endpoint> {
+        let removed_at = self.removed.get(&written.key);
+        if removed_at.is_some_and(|removed| written.sequence <= Some(*removed)) {
             return None;
         }
-        let known = self.entries.get(&listed.key.id);
+        let known = self.entries.get(&written.key.id);
         let known = known
             .map(|entry| &entry.endpoint)
-            .filter(|known| known.key == listed.key && known.sequence > listed.sequence);
-        Some(known.cloned().unwrap_or(listed))
+            .filter(|known| known.key == written.key && known.sequence > written.sequence);
+        Some(known.cloned().unwrap_or(written))
     }
 
     /// Removes endpoints that did not register again in time. Returns true when
--- a/crates/filbertgrade-coord/tests/steering/notices.rs
+++ b/crates/filbertgrade-coord/tests/steering/notices.rs
@@ -237,7 +237,9 @@
             let n = n as u64;
             SimulatedEndpoint {
                 key: endpoint.key.clone(),
-                next_pause: (n % 2 == 0).then_some(1_000 + n * PAUSE_INTERVAL_MS / 20),
+                next_pause: n
+                    .is_multiple_of(2)
+                    .then_some(1_000 + n * PAUSE_INTERVAL_MS / 20),
                 paused_until: 0,
                 requests: 0,
                 busy_ms: 0,
--- a/crates/filbertgrade-coord/tests/steering/registry.rs
+++ b/crates/filbertgrade-coord/tests/steering/registry.rs
@@ -157,6 +157,30 @@
     assert_eq!(ids(&registry), ["drains", "gone", "stays"]);
 }
 
+/// Guards against endpoints that drain or have left and get requests again, because
+/// the store executes an earlier heartbeat of theirs late.
+#[test]
+fn late_heartbeat_does_not_bring_back_an_endpoint_that_left() {
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    let write = |registry: &mut Registry, revision, (id, endpoint)| {
+        let change = RegistryChange::Written(id, endpoint);
+        registry.apply([change], rev(revision), start, None);
+    };
+    write(&mut registry, 5, numbered("a", false, 3));
+    write(&mut registry, 6, numbered("a", true, 5));
+    write(&mut registry, 7, numbered("a", false, 4));
+    assert_eq!(drains(&registry, "a"), Some(true));
+    registry.apply([removed("a")], rev(8), start, None);
+    write(&mut registry, 9, numbered("a", false, 4));
+    assert!(ids(&registry).is_empty());
+    registry.replace(vec![numbered("a", false, 5)], rev(10), start, None);
+    assert!(ids(&registry).is_empty());
+    // Only its registration had lapsed.
+    write(&mut registry, 11, numbered("a", false, 6));
+    assert_eq!(drains(&registry, "a"), Some(false));
+}
+
 /// Guards against a service that loses its endpoints, because their registrations
 /// are newer than the copy from which the store was restored, and against ones that
 /// stay for good though they are not registered again.
