Refuse keys while the newest configuration cannot be read

Cause: the platform's names were held to this project's own rules, so the whole version was refused; and the response that contained it still confirmed the version before as the newest, on which the check of keys rests.

Evidence: keys_are_refused_while_the_newest_configuration_cannot_be_read and names_of_another_system_are_accepted failed before and pass now.

--- a/crates/filbertgrade-coord/src/names.rs
+++ b/crates/filbertgrade-coord/src/names.rs
@@ -1,8 +1,9 @@
 //! Validated names of VMs, regions, teams and other objects.
 //!
 //! A name consists of `a` to `z`, `0` to `9` and `-`, so it can be part of a
-//! header, a path or a log line without escaping. Names are reference counted
-//! and therefore cheap to clone.
+//! header, a path or a log line without escaping. Names that another system has
+//! given may have other characters, see [`ExternalName`]. Names are reference
+//! counted and therefore cheap to clone.
 
 use std::borrow::Borrow;
 use std::fmt;
@@ -11,6 +12,21 @@
 /// Length limit of a name in bytes, which is that of a DNS label.
 pub const MAX_NAME_LEN: usize = 63;
 
+/// Length limit in bytes of a name that another system has given.
+pub const MAX_EXTERNAL_NAME_LEN: usize = 255;
+
+/// A name that may come from another system, which has rules of its own for names.
+pub trait ExternalName: Sized {
+    /// Reads a name of another system: any text without white space and control
+    /// characters, so that it can still be part of a header or a log line.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is empty, longer than [`MAX_EXTERNAL_NAME_LEN`], or has
+    /// other characters.
+    fn from_external(s: &str) -> Result<Self, NameError>;
+}
+
 /// Defines a newtype for one kind of name, which can only hold a valid name.
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -34,6 +50,13 @@
             }
         }
 
+        impl ExternalName for $name {
+            fn from_external(s: &str) -> Result<Self, NameError> {
+                validate_external(s)?;
+                Ok(Self(Arc::from(s)))
+            }
+        }
+
         impl std::str::FromStr for $name {
             type Err = NameError;
 
@@ -110,12 +133,19 @@
     TooLong(usize),
     #[error("character {0:?} is not one of a-z, 0-9 and '-'")]
     InvalidCharacter(char),
+    #[error("a name of {0} bytes is longer than {MAX_EXTERNAL_NAME_LEN}")]
+    ExternalTooLong(usize),
+    #[error("a name must not have white space or control characters, as {0:?}")]
+    Unprintable(char),
 }
 
 impl NameError {
     /// Reports whether the string was empty or longer than [`MAX_NAME_LEN`].
     pub fn is_length_error(&self) -> bool {
-        matches!(self.0, NameErrorKind::Empty | NameErrorKind::TooLong(_))
+        matches!(
+            self.0,
+            NameErrorKind::Empty | NameErrorKind::TooLong(_) | NameErrorKind::ExternalTooLong(_)
+        )
     }
 }
 
@@ -134,3 +164,16 @@
         None => Ok(()),
     }
 }
+
+fn validate_external(s: &str) -> Result<(), NameError> {
+    if s.is_empty() {
+        return Err(NameError(NameErrorKind::Empty));
+    }
+    if s.len() > MAX_EXTERNAL_NAME_LEN {
+        return Err(NameError(NameErrorKind::ExternalTooLong(s.len())));
+    }
+    match s.chars().find(|c| c.is_whitespace() || c.is_control()) {
+        Some(c) => Err(NameError(NameErrorKind::Unprintable(c))),
+        None => Ok(()),
+    }
+}
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -56,7 +56,7 @@
 
 /// Starts the tasks that follow the store.
 pub(super) fn spawn_followers(node: &Arc<Node>) {
-    tokio::spawn(follow_kind(Arc::clone(node), Configuration));
+    tokio::spawn(follow_kind(Arc::clone(node), Configuration::default()));
     tokio::spawn(follow_kind(Arc::clone(node), Endpoints));
     tokio::spawn(follow_kind(Arc::clone(node), Evacuations::default()));
     tokio::spawn(follow_kind(Arc::clone(node), Vms::default()));
@@ -149,7 +149,26 @@
 }
 
 /// Puts newer versions of the configuration in force.
-struct Configuration;
+#[derive(Default)]
+struct Configuration {
+    /// The newest version cannot be read. The one in force is then not confirmed any
+    /// more, because the newest may withdraw keys that it still has.
+    newest_is_unreadable: bool,
+}
+
+impl Configuration {
+    fn read(&mut self, node: &Node, object: &Object, revision: StoreRevision) {
+        if object.name != CONFIGURATION_NAME {
+            return;
+        }
+        let read = objects::configuration(&object.spec);
+        self.newest_is_unreadable = read.is_err();
+        match read {
+            Ok(deployment) => put_in_force(node, deployment, revision),
+            Err(error) => log_invalid_object(Kind::Configuration, &object.name, &error),
+        }
+    }
+}
 
 impl Follower for Configuration {
     const KIND: Kind = Kind::Configuration;
@@ -166,34 +185,27 @@
         _is_restored: bool,
     ) {
         for object in objects {
-            read_configuration(node, &object, revision);
+            self.read(node, &object, revision);
         }
     }
 
     fn apply(&mut self, node: &Node, events: Vec<Event>, revision: StoreRevision) {
         for event in events {
             if let Event::Written(object) = event {
-                read_configuration(node, &object, revision);
+                self.read(node, &object, revision);
             }
         }
     }
 
     fn confirm(&mut self, node: &Node, at: Instant) {
+        if self.newest_is_unreadable {
+            return;
+        }
         lock(&node.store_health).confirm(at);
         node.store_read.send_replace(());
     }
 }
 
-fn read_configuration(node: &Node, object: &Object, revision: StoreRevision) {
-    if object.name != CONFIGURATION_NAME {
-        return;
-    }
-    match objects::configuration(&object.spec) {
-        Ok(deployment) => put_in_force(node, deployment, revision),
-        Err(error) => log_invalid_object(Kind::Configuration, &object.name, &error),
-    }
-}
-
 /// Puts a configuration in force unless its version is not newer than the one
 /// in force.
 fn put_in_force(node: &Node, deployment: Deployment, revision: StoreRevision) {
--- a/crates/filbertgrade/src/process/node/tokens.rs
+++ b/crates/filbertgrade/src/process/node/tokens.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::names::{TeamName, VmName};
+use filbertgrade_coord::names::{ExternalName, TeamName, VmName};
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::{Admission, Grant, TokenRequest};
 use prost::Message;
@@ -161,7 +161,7 @@
     from: SocketAddr,
     request: &WireTokenRequest,
 ) {
-    let grant = match TeamName::try_from(request.team.as_str()) {
+    let grant = match TeamName::from_external(request.team.as_str()) {
         Ok(team) => {
             let now = Instant::now();
             lock(&node.quotas).grant(&team, request.tokens, request.arrivals, now)
--- a/crates/filbertgrade/src/wire/peer.rs
+++ b/crates/filbertgrade/src/wire/peer.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use filbertgrade_coord::names::{NameError, RegionName, TeamName, VmName};
+use filbertgrade_coord::names::{ExternalName, NameError, RegionName, TeamName, VmName};
 use filbertgrade_coord::steering::affinity::Affinity;
 use filbertgrade_coord::steering::endpoint::EndpointKey;
 use filbertgrade_coord::steering::endpoint_limit::{EndpointRate, RateNotice};
@@ -301,7 +301,10 @@
 
     fn try_from(wire: WireRegionSummary) -> Result<Self, NameError> {
         let names = |names: &[String]| -> Result<HashSet<VmName>, NameError> {
-            names.iter().map(|n| VmName::try_from(n.as_str())).collect()
+            names
+                .iter()
+                .map(|n| VmName::from_external(n.as_str()))
+                .collect()
         };
         let not_ready = names(&wire.not_ready)?;
         let vms = if wire.lists_exceptions {
@@ -315,7 +318,7 @@
             RegionVms::Running(ready.chain(not_ready).collect())
         };
         Ok(Self {
-            region: RegionName::try_from(wire.region.as_str())?,
+            region: RegionName::from_external(wire.region.as_str())?,
             vms,
         })
     }
@@ -326,7 +329,7 @@
 
     fn try_from(wire: WireHeartbeat) -> Result<Self, NameError> {
         Ok(Self {
-            vm: VmName::try_from(wire.vm.as_str())?,
+            vm: VmName::from_external(wire.vm.as_str())?,
             heartbeat: Heartbeat {
                 incarnation: wire.incarnation,
                 ready: wire.ready,
@@ -352,7 +355,7 @@
     for entry in wire.teams {
         let rate = f64::from(entry.rate);
         if rate.is_finite() {
-            demand.insert(TeamName::try_from(entry.team.as_str())?, rate);
+            demand.insert(TeamName::from_external(entry.team.as_str())?, rate);
         }
     }
     Ok(demand)
--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -1,7 +1,7 @@
 //! Tests of a running node when objects in the store change, and while the store
 //! is down.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -12,6 +12,9 @@
 /// Memory in KiB that a node may use to control requests, whatever it forwards.
 const CONTROL_MEMORY_KIB: u64 = 128_000;
 
+/// Time after its withdrawal from which a key must not be accepted.
+const KEY_WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
 /// Longest time that a change may need to take effect.
 const CHANGE_TIME_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -35,6 +38,56 @@
     );
 }
 
+/// Guards against a withdrawn key that keeps working for good, because the version
+/// that withdraws it cannot be read by the node.
+#[tokio::test]
+async fn keys_are_refused_while_the_newest_configuration_cannot_be_read() {
+    let mut cluster = TestCluster::with_nodes(&[1], 2).await;
+    assert_eq!(cluster.get("safe", "a1").await.status, 200);
+    cluster.configure(|spec| {
+        spec["tenants"][0]["api-keys"] = json!(["new"]);
+        spec["tenants"][0]["rate-per-s"] = json!("many");
+    });
+    let withdrawn_at = Instant::now();
+    for node in &cluster.nodes {
+        eventually("the key is refused", || async {
+            node.request("GET", "safe", "a2", Some(KEY)).await.status == 503
+        })
+        .await;
+        let elapsed = withdrawn_at.elapsed();
+        assert!(elapsed < KEY_WITHDRAWAL_BOUND, "{elapsed:?}");
+        node.line_with(&["event=refused", "id=a2", "cause=isolated"])
+            .await;
+    }
+    cluster.configure(|spec| spec["tenants"][0]["api-keys"] = json!(["new"]));
+    for node in &cluster.nodes {
+        eventually("the new key is accepted", || async {
+            node.request("GET", "safe", "a3", Some("new")).await.status == 200
+        })
+        .await;
+        assert_eq!(
+            node.request("GET", "safe", "a4", Some(KEY)).await.status,
+            401
+        );
+    }
+}
+
+/// Guards against a version that is not put in force because of names that another
+/// system allows.
+#[tokio::test]
+async fn names_of_another_system_are_accepted() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    cluster.configure(|spec| {
+        spec["tenants"][0]["name"] = json!("Riding_School.Gent+é");
+        spec["routes"][0]["name"] = json!("Safe_Route/1");
+    });
+    let version = format!("configuration_in_force version={} ", cluster.version());
+    cluster.nodes[0].line_with(&[&version]).await;
+    assert_eq!(cluster.get("safe", "a").await.status, 200);
+    let heads = cluster.endpoints[0].run_heads();
+    assert!(heads[0].contains("x-filbertgrade-tenant: riding_school.gent+é"));
+}
+
 /// Guards against keys that are accepted during an outage of the store, in
 /// which a withdrawal would go unnoticed, and against public routes that fail
 /// in it.
