--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -11,8 +11,8 @@
 use hyper::body::Incoming;
 
 use super::body::{BufferedBody, buffer_body};
-use super::request::{Call, is_key_valid};
 use super::responses::{self, Body, StreamedResponse};
+use super::routing::{Call, is_key_valid};
 use super::{Node, endpoint_rates, notices};
 use crate::connection::{Busy, CheckoutParams, Connection, PoolError, RequestBody};
 use crate::logfmt;
--- a/crates/filbertgrade/src/process/node/endpoint_rates.rs
+++ b/crates/filbertgrade/src/process/node/endpoint_rates.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 
 use super::Node;
-use super::request::Call;
+use super::routing::Call;
 use super::tokens;
 use crate::logfmt;
 use crate::sync::lock;
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod request;
 mod responses;
+mod routing;
 mod source;
 mod stop;
 mod store;
--- a/crates/filbertgrade/src/process/node/notices.rs
+++ b/crates/filbertgrade/src/process/node/notices.rs
@@ -7,7 +7,7 @@
 use filbertgrade_platform::headers::{PauseRequest, ResponseHead, ResponseKind};
 
 use super::Node;
-use super::request::Call;
+use super::routing::Call;
 use crate::logfmt;
 use crate::sync::lock;
 
