Exclude a relay without a recent copy at once while the store is lost

Cause: since a relay without a recent copy is pulled from once more after 0.25 s. In an outage that holds for every relay and every round, so that the probes of a node, after 0.3, 0.6 and 1.2 s, moved by some 0.25 s each and two of them fell into the 3 s that the test counts. It also delays the first probe that finds the store again.

Why this works: the delay is for a relay that fails over itself. If the store does not respond to this VM either, no relay is expected to get a copy soon.

--- a/crates/filbertgrade-coord/src/steering/following.rs
+++ b/crates/filbertgrade-coord/src/steering/following.rs
@@ -145,22 +145,25 @@
         self.outdated = None;
     }
 
-    /// Records that a pull failed. `relays` is the number of relays of this VM.
+    /// Records that a pull failed. `relays` is the number of relays of this VM, and
+    /// `store_unreachable` says that the store does not respond to this VM.
     ///
     /// The first failure of a connection that worked says nothing about the
     /// relay. A relay without a recent copy is given time to get one, unless it
-    /// is the only one: then this VM is the first to reach the store.
+    /// is the only one, and this VM the first to reach the store, or the store is
+    /// known to be lost.
     pub fn record_failure(
         &mut self,
         relay: SocketAddr,
         failure: PullFailure,
         relays: usize,
+        store_unreachable: bool,
     ) -> AfterPullFailure {
         let was_proven = self.proven.take() == Some(relay);
         let was_outdated = self.outdated.take() == Some(relay);
         match failure {
             PullFailure::Connection if was_proven => AfterPullFailure::Reconnect,
-            PullFailure::NoRecentCopy if relays > 1 && !was_outdated => {
+            PullFailure::NoRecentCopy if relays > 1 && !store_unreachable && !was_outdated => {
                 self.outdated = Some(relay);
                 AfterPullFailure::RetryLater
             }
--- a/crates/filbertgrade-coord/tests/steering/following.rs
+++ b/crates/filbertgrade-coord/tests/steering/following.rs
@@ -22,8 +22,9 @@
 #[test]
 fn relay_is_excluded_only_after_a_new_connection_failed_as_well() {
     let mut outcomes = PullOutcomes::default();
-    let fail =
-        |outcomes: &mut PullOutcomes| outcomes.record_failure(relay(1), PullFailure::Connection, 2);
+    let fail = |outcomes: &mut PullOutcomes| {
+        outcomes.record_failure(relay(1), PullFailure::Connection, 2, false)
+    };
     outcomes.record_success(relay(1));
     assert_eq!(fail(&mut outcomes), AfterPullFailure::Reconnect);
     assert_eq!(fail(&mut outcomes), AfterPullFailure::Exclude);
@@ -39,11 +40,11 @@
 fn relay_that_has_not_replied_yet_is_excluded_at_its_first_failure() {
     let mut outcomes = PullOutcomes::default();
     outcomes.record_success(relay(1));
-    outcomes.record_failure(relay(1), PullFailure::Connection, 2);
+    outcomes.record_failure(relay(1), PullFailure::Connection, 2, false);
     assert!(!outcomes.is_proven(relay(1)));
-    outcomes.record_failure(relay(1), PullFailure::Connection, 2);
+    outcomes.record_failure(relay(1), PullFailure::Connection, 2, false);
     assert!(!outcomes.is_proven(relay(2)));
-    let step = outcomes.record_failure(relay(2), PullFailure::Connection, 2);
+    let step = outcomes.record_failure(relay(2), PullFailure::Connection, 2, false);
     assert_eq!(step, AfterPullFailure::Exclude);
 }
 
@@ -54,18 +55,21 @@
 fn relay_without_a_recent_copy_is_pulled_from_once_more_unless_it_is_the_only_one() {
     let mut outcomes = PullOutcomes::default();
     let no_copy = PullFailure::NoRecentCopy;
-    let step = outcomes.record_failure(relay(1), no_copy, 1);
+    let step = outcomes.record_failure(relay(1), no_copy, 1, false);
     assert_eq!(step, AfterPullFailure::Exclude);
-    let step = outcomes.record_failure(relay(1), no_copy, 2);
+    let step = outcomes.record_failure(relay(1), no_copy, 2, false);
     assert_eq!(step, AfterPullFailure::RetryLater);
-    let step = outcomes.record_failure(relay(1), no_copy, 2);
+    let step = outcomes.record_failure(relay(1), no_copy, 2, false);
     assert_eq!(step, AfterPullFailure::Exclude);
-    let step = outcomes.record_failure(relay(2), no_copy, 2);
+    let step = outcomes.record_failure(relay(2), no_copy, 2, false);
     assert_eq!(step, AfterPullFailure::RetryLater);
     outcomes.record_success(relay(2));
-    let step = outcomes.record_failure(relay(2), no_copy, 2);
+    let step = outcomes.record_failure(relay(2), no_copy, 2, false);
     assert_eq!(step, AfterPullFailure::RetryLater);
-    let step = outcomes.record_failure(relay(2), PullFailure::Connection, 2);
+    let step = outcomes.record_failure(relay(2), PullFailure::Connection, 2, false);
+    assert_eq!(step, AfterPullFailure::Exclude);
+    // The store is lost, so that waiting for the relay only delays the next probe.
+    let step = outcomes.record_failure(relay(1), no_copy, 2, true);
     assert_eq!(step, AfterPullFailure::Exclude);
 }
 
--- a/crates/filbertgrade/src/process/node/source.rs
+++ b/crates/filbertgrade/src/process/node/source.rs
@@ -278,9 +278,10 @@
         }
         let store_unreachable = lock(&node.store_health).is_unreachable();
         let relays = lock(&node.members).relays(store_unreachable, now).len();
+        let failure = error.failure();
         let step = self
             .pull_outcomes
-            .record_failure(address, error.failure(), relays);
+            .record_failure(address, failure, relays, store_unreachable);
         relay::log_failure(self.kind, error, step);
         match step {
             AfterPullFailure::Reconnect => {}
