--- a/crates/filbertgrade-coord/src/steering/balancer/notices.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/notices.rs
@@ -95,7 +95,7 @@
     /// Records that an endpoint wants no requests from this VM for `time`. Returns
     /// false if a pause that runs already ends later.
     ///
-    /// This VM returns up to [`RETURN_TIME`] after the pause, at an instant that
+    /// This VM returns within a second after the pause, at an instant that
     /// differs between VMs.
     pub fn record_pause(&mut self, key: &EndpointKey, time: Duration, now: Instant) -> bool {
         let spread = score(endpoint_hash(self.cfg.vm.as_str()), endpoint_hash(&key.id));
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -479,7 +479,7 @@
 /// Random id of one attempt, which a backend server repeats in its response.
 ///
 /// A backend server may send a response twice. The second copy arrives where the
-/// response to the next request is due, and only the id tells them apart.
+/// response to the next request is due, and only the id distinguishes the two.
 #[derive(Debug)]
 struct AttemptId(HeaderValue);
 
