Pass on the status of a refusal only if the endpoint confirms it (node)

What callers see: a request that ran is answered 408, 429 or 503, statuses that promise that it has not run and never will (rule REFUSED). A caller may repeat an order that has run.

Cause: only the header of the endpoint confirms that a request did not run. A response with one of these statuses and without the header counted as an ordinary response of a run and was passed on unchanged, so that the caller took the endpoint's status for the system's promise.

Ruled out by reading: refusals of other attempts on a connection (the id is checked), an endpoint that is tried twice for one request (the ranking leaves out endpoints that were tried), bytes that left after the count was read (the connection's task has ended by then), hedged attempts (idempotent requests only).

Now such a response is a failed attempt after which the request may have run: an idempotent request is repeated within the retry budget, any other one ends with 502 and without the endpoint's seal. It is logged as result=unconfirmed_refusal.

--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -35,6 +35,9 @@
     CutsAnswers,
     /// Responds with status 500.
     Fails,
+    /// Responds with the given status, and without the header that confirms that the request did
+    /// not run.
+    RunsAndResponds(u16),
     /// Responds with status 421, like an endpoint that took over the address of another one. The
     /// request does not run.
     IsAnother,
@@ -203,10 +206,10 @@
                 EndpointBehavior::Silent => std::future::pending().await,
                 _ => {}
             }
-            let status = if behavior == EndpointBehavior::Fails {
-                "500 Failed"
-            } else {
-                "200 OK"
+            let status = match behavior {
+                EndpointBehavior::Fails => "500 Failed".to_owned(),
+                EndpointBehavior::RunsAndResponds(status) => format!("{status} Status"),
+                _ => "200 OK".to_owned(),
             };
             let response_id = if behavior == EndpointBehavior::CrossesAnswers {
                 "another"
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -192,6 +192,11 @@
     }
     endpoint_rates::record(node, call, &attempt.target.key, &head);
     notices::record(node, call, &attempt.target.key, &head);
+    if head.kind == ResponseKind::Run && responses::promises_not_run(parts.status) {
+        drop(connection);
+        let failure = Failure::UnconfirmedRefusal;
+        return no_response(&mut attempt, call, failure, AttemptState::FullySent);
+    }
     let idle_limit = idle_limit(&head);
     let buffered = match buffer_response(parts, body, call).await {
         Ok(buffered) => buffered,
@@ -344,6 +349,10 @@
             Outcome::Cancelled
         }
         Failure::DeadlinePassed => Outcome::TimedOut,
+        Failure::UnconfirmedRefusal => Outcome::Responded {
+            latency: attempt.latency(),
+            failed: true,
+        },
         // The endpoint closed the connection while it was idle.
         Failure::ConnectionLost { reused: true } if state == AttemptState::NotSent => {
             Outcome::Cancelled
@@ -380,6 +389,7 @@
         Failure::Draining => "draining",
         Failure::Misdirected => "other_endpoint",
         Failure::MalformedResponse => "malformed_answer",
+        Failure::UnconfirmedRefusal => "unconfirmed_refusal",
         Failure::CallerSlow => "caller_slow",
         Failure::CallerGone => "caller_gone",
         Failure::ResponseTruncated => "answer_cut",
--- a/crates/filbertgrade/src/process/node/responses.rs
+++ b/crates/filbertgrade/src/process/node/responses.rs
@@ -135,8 +135,20 @@
     response
 }
 
-/// Status code of a refusal. Callers take 429 and 503, and no other code, as a
-/// promise that the request has not run, so neither is used when it may have.
+/// Whether callers take the status as a promise that the request has not run and
+/// never will.
+pub(super) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Status code of a refusal. When the request may have run, none is used that
+/// [`promises_not_run`].
 fn status(refusal: &Refusal) -> StatusCode {
     if refusal.is_not_run() {
         return match refusal.cause() {
--- a/crates/filbertgrade/src/request/decision.rs
+++ b/crates/filbertgrade/src/request/decision.rs
@@ -32,6 +32,9 @@
     /// The backend server's response is malformed, or its end cannot be
     /// determined.
     MalformedResponse,
+    /// The backend server responded with a status that promises callers that the
+    /// request did not run, and did not confirm this.
+    UnconfirmedRefusal,
     /// The caller sent its body too slowly.
     CallerSlow,
     /// The caller disconnected before it had sent its whole body.
@@ -156,6 +159,7 @@
             Self::NoConnection
             | Self::ConnectionLost { .. }
             | Self::MalformedResponse
+            | Self::UnconfirmedRefusal
             | Self::ResponseTruncated => Cause::BackendFailed,
             Self::ConnectionTimedOut | Self::DeadlinePassed => Cause::BackendSilent,
             Self::Shed => Cause::Busy,
--- a/crates/filbertgrade/tests/node/requests.rs
+++ b/crates/filbertgrade/tests/node/requests.rs
@@ -144,6 +144,32 @@
     assert_eq!(cluster.requests_run(), 2);
 }
 
+/// Guards against a request that ran although its caller was answered with a status
+/// that promises that it did not: one that the endpoint gave without confirming it.
+#[rstest]
+#[tokio::test]
+async fn status_of_a_refusal_is_passed_on_only_if_the_endpoint_confirms_it(
+    #[values(408, 429, 503)] status: u16,
+    #[values("safe", "order")] route: &str,
+) {
+    let cluster = TestCluster::start(&[10, 10]).await;
+    for endpoint in &cluster.endpoints {
+        endpoint.set_behavior(EndpointBehavior::RunsAndResponds(status));
+    }
+    let response = cluster.nodes[0]
+        .request("POST", route, "r1", Some(KEY))
+        .await;
+    assert_eq!(response.status, 502);
+    assert_eq!(header(&response.head, "x-filbertgrade-server-seal"), "");
+    assert!(response.body.contains("\"outcome\":\"unknown\""));
+    // Only the idempotent request may be repeated.
+    let runs = if route == "safe" { 2 } else { 1 };
+    assert_eq!(cluster.requests_run(), runs);
+    cluster.nodes[0]
+        .line_with(&["event=attempt id=r1", "result=unconfirmed_refusal"])
+        .await;
+}
+
 /// Guards against a response that is delayed although all endpoints refused the
 /// request, or that lacks the time after which the caller may retry.
 #[tokio::test]
