Remove the system's own headers from responses of backend servers (entry)

The entry passed these headers on when a backend server sent them, so that a request that had run could be reported as not run, for example by a backend server that is itself a caller of filbertgrade and returns what it got.

Evidence: backend_server_cannot_speak_for_the_system, both cases failed before (the headers arrived) and pass now.

--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -412,7 +412,7 @@
         return Err(FailedAttempt { failure, state });
     }
     let (mut parts, body) = response.into_parts();
-    request::remove_hop_by_hop(&mut parts.headers);
+    request::prepare_response(&mut parts.headers);
     parts.headers.remove(ATTEMPT_ID_HEADER);
     let connection = ResponseConnection {
         connection,
--- a/crates/filbertgrade/src/request/headers.rs
+++ b/crates/filbertgrade/src/request/headers.rs
@@ -26,6 +26,9 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
+/// Prefix of the headers that only the system sets in responses.
+const OWN_HEADER_PREFIX: &str = "filbertgrade-";
+
 /// Prefix of every API key.
 const API_KEY_PREFIX: &[u8] = b"fgk_";
 
@@ -68,6 +71,21 @@
     }
 }
 
+/// Turns a backend server's headers into those sent to a caller. Removes
+/// hop-by-hop headers, and those by which the system marks its own refusals: a
+/// backend server that sets them could not be told from a refusal.
+pub fn prepare_response(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_HEADER_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
 /// Removes hop-by-hop headers, including those that the `connection` header
 /// lists.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/crates/filbertgrade/src/request/mod.rs
+++ b/crates/filbertgrade/src/request/mod.rs
@@ -17,7 +17,7 @@
 pub use budget::RetryBudget;
 pub use decision::{Failure, MAX_ATTEMPTS, NextStep, RetryContext, may_have_run, next_step};
 pub use guard::{AttemptRecord, AttemptRecordState, Claim, Guard};
-pub use headers::{contains_api_key, prepare_request, remove_hop_by_hop};
+pub use headers::{contains_api_key, prepare_request, prepare_response, remove_hop_by_hop};
 pub use limits::{
     DEADLINE_HEADER, DEFAULT_DEADLINE, IDEMPOTENCY_HEADER, MAX_DEADLINE, MAX_IDEMPOTENCY_KEY_BYTES,
     MIN_DEADLINE, deadline_of, idempotency_key_of,
--- a/crates/filbertgrade/tests/path/bad_responses.rs
+++ b/crates/filbertgrade/tests/path/bad_responses.rs
@@ -80,6 +80,23 @@
     assert_eq!(response.headers()["filbertgrade-outcome"], "unknown");
 }
 
+/// Guards against a request that ran although its caller learns that it did not,
+/// from headers that only the system may set.
+#[rstest]
+#[case::failure(
+    "HTTP/1.1 503 Busy\r\nfilbertgrade-cause: busy\r\nfilbertgrade-outcome: not_run\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::success("HTTP/1.1 200 OK\r\nFilbertgrade-Outcome: not_run\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn backend_server_cannot_speak_for_the_system(#[case] response: &'static str) {
+    let responses: &'static [&'static str] = Vec::leak(vec![response]);
+    let (fleet, secret) = fleet_with_backend(responses).await;
+    let response = send_request(&fleet, &secret, "POST").await;
+    for name in ["filbertgrade-cause", "filbertgrade-outcome"] {
+        assert!(!response.headers().contains_key(name), "{response:?}");
+    }
+}
+
 /// Guards against extra bytes after a response that are taken for the response
 /// to the next request on the connection.
 #[tokio::test(flavor = "multi_thread")]
