Take only requests that can end before a stopping node is killed

What callers saw: a node that gets SIGTERM took and passed on requests for 3 s.

Cause: the 3 s are fixed. grace-s, the time that a request has left and the work of an endpoint had no part in the decision, and stop_grace less 3.3 s can be 0.

Evidence: planned_stop_cuts_no_request, one process, 24 callers on kept connections, orders. Before: grace 6 s and work of 3.3 s, an order sent 2.94 s after the signal is cut; grace 4 s and 1.5 s, one sent after 2.23 s; grace 3 s, the process is still there when the platform kills it (both cases). Grace 6 s and 1.5 s passed. After: all five pass.

Ruled out: requests that cross the end of a connection; they never ran.

Now a StopSchedule is planned from the time that the platform allows. A request is sent only if its deadline lies before the last responses; others are refused at once as not run. What began before the signal and outlasts the stop gets a 502 before the process ends. The expected time of an endpoint was weighed in place of the deadline: it lets more requests through, and is wrong when an endpoint turns slow, which cuts an order; a refusal costs a connection.

--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -148,8 +148,9 @@
     if now >= call.deadline {
         return Some(Failure::DeadlinePassed);
     }
-    let may_send =
-        is_key_valid(node, call, now) && lock(&node.balancer).may_still_send(target, now);
+    let may_send = node.permits_until(call.deadline)
+        && is_key_valid(node, call, now)
+        && lock(&node.balancer).may_still_send(target, now);
     (!may_send).then_some(Failure::Draining)
 }
 
--- a/crates/filbertgrade/src/process/node/callers.rs
+++ b/crates/filbertgrade/src/process/node/callers.rs
@@ -44,20 +44,20 @@
 /// descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts callers' connections until `stop` resolves. The connections are shut
-/// down gracefully once `close` is true.
-pub(super) async fn serve_requests(
+/// Accepts callers' connections until `stop` resolves, and returns its result. The
+/// connections are shut down gracefully once `close` is true.
+pub(super) async fn serve_requests<T>(
     node: &Arc<Node>,
     listener: TcpListener,
     close: &watch::Receiver<bool>,
-    stop: impl Future<Output = ()>,
-) {
+    stop: impl Future<Output = T>,
+) -> T {
     let mut stop = pin!(stop);
     loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = &mut stop => return,
+            result = &mut stop => return result,
         };
         match accepted {
             Ok((stream, _)) => accept(node, stream, close.clone()),
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -56,6 +56,7 @@
 use crate::process::operator;
 use crate::process::signals::{StopSignals, reload_signal};
 use crate::process::tasks::Tasks;
+use crate::request::StopSchedule;
 use crate::sync::lock;
 
 /// Longest time since a connection was opened or delivered its last response
@@ -149,8 +150,9 @@
     pub(crate) caller_connections: Tasks,
     /// Requests that are being handled.
     pub(crate) running_requests: Tasks,
-    /// True once the process has received a signal to stop.
-    leaving: watch::Sender<bool>,
+    /// Times of the planned stop; `None` until the process has received a signal
+    /// to stop.
+    stopping: watch::Sender<Option<StopSchedule>>,
     /// Notified when the configuration was confirmed or the endpoints were
     /// read.
     store_read: watch::Sender<()>,
@@ -198,7 +200,7 @@
             body_budget: BodyBudget::new(settings.memory_bytes),
             caller_connections: Tasks::default(),
             running_requests: Tasks::default(),
-            leaving: watch::Sender::new(false),
+            stopping: watch::Sender::new(None),
             store_read: watch::Sender::new(()),
             store_restored: watch::Sender::new(()),
             store_revision: watch::Sender::default(),
@@ -214,7 +216,26 @@
 
     /// True once the process has received a signal to stop.
     pub(crate) fn is_leaving(&self) -> bool {
-        *self.leaving.borrow()
+        self.stopping.borrow().is_some()
+    }
+
+    /// Whether a request with this deadline may be sent to an endpoint, unless the
+    /// process stops before a response can be expected.
+    pub(crate) fn permits_until(&self, deadline: Instant) -> bool {
+        let stopping = *self.stopping.borrow();
+        stopping.is_none_or(|schedule| schedule.permits(deadline))
+    }
+
+    /// Resolves when the requests that still run must be answered because the
+    /// process is about to exit.
+    pub(crate) async fn last_responses_due(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // The sender is part of the node, so that the channel does not close.
+        if let Ok(schedule) = stopping.wait_for(Option::is_some).await.map(|s| *s)
+            && let Some(schedule) = schedule
+        {
+            tokio::time::sleep_until(schedule.respond_by.into()).await;
+        }
     }
 
     /// True while the copy of the configuration is recent enough to accept
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -75,10 +75,24 @@
         Err(refused) => return refuse(&head, &refused, arrived, "route=none"),
     };
     let mut progress = Progress::default();
-    let result = forward(node, &call, body, &mut progress).await;
+    let result = tokio::select! {
+        biased;
+        result = forward(node, &call, body, &mut progress) => result,
+        () = node.last_responses_due() => Err(end_at_stop(&progress)),
+    };
     finish(&call, &progress, result)
 }
 
+/// Refuses a request that has not ended when the process is about to exit.
+fn end_at_stop(progress: &Progress) -> Refused {
+    if progress.tried.is_empty() {
+        Refused::retry_later(Cause::Leaving, OTHER_VM_RETRY_DELAY)
+    } else {
+        // The last attempt may be running.
+        Refused::unknown(Cause::Leaving)
+    }
+}
+
 /// Applies the rate limit of the request's team, if it has a team.
 async fn admit(node: &Node, call: &Call) -> Result<(), Refused> {
     let Some(team) = &call.team else {
@@ -195,6 +209,9 @@
     limited: LimitedEndpoints<'_>,
 ) -> Result<Picked, Refused> {
     let now = Instant::now();
+    if !node.permits_until(call.deadline) {
+        return Err(Refused::retry_later(Cause::Leaving, OTHER_VM_RETRY_DELAY));
+    }
     if !is_key_valid(node, call, now) {
         return Err(Refused::retry_later(Cause::Isolated, OTHER_VM_RETRY_DELAY));
     }
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::Signal;
@@ -12,23 +12,20 @@
 use super::heartbeat::BroadcastScope;
 use super::{Node, heartbeat, read_settings, vm_entries};
 use crate::logfmt;
+use crate::request::StopSchedule;
 use crate::sync::lock;
 
 /// How long a VM still accepts connections after it received the signal to
-/// stop. Some callers cache the response to a lookup for three times its time to
-/// live.
-const ACCEPT_GRACE: Duration = LOOKUP_TTL.saturating_mul(3);
-
-/// Margin before the end of the time to stop, so that the process ends by itself
-/// before the platform kills it.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// stop, if the time to stop permits. Some callers cache the response to a lookup
+/// for three times its time to live.
+const ACCEPT_TIME: Duration = LOOKUP_TTL.saturating_mul(3);
 
 /// How often the settings file is read to detect changes without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Serves callers until `stop` resolves, then stops gracefully: announces the
-/// stop, accepts connections for another [`ACCEPT_GRACE`], and waits for the
-/// open ones as long as the time to stop permits.
+/// stop, accepts connections for a while, and waits for the open ones, as its
+/// [`StopSchedule`] says.
 pub(super) async fn serve_until(
     node: &Arc<Node>,
     listener: TcpListener,
@@ -38,14 +35,15 @@
     let close = watch::Sender::new(false);
     let leave = async {
         stop.await;
+        let schedule = begin_stop(node);
         announce_leaving(node, peers).await;
-        tokio::time::sleep(ACCEPT_GRACE).await;
+        tokio::time::sleep_until(schedule.accept_until.into()).await;
+        schedule
     };
-    callers::serve_requests(node, listener, &close.subscribe(), leave).await;
+    let schedule = callers::serve_requests(node, listener, &close.subscribe(), leave).await;
     let _ = close.send(true);
-    let stop_time = node.settings.load().bounds.stop_grace;
-    let remaining = stop_time.saturating_sub(ACCEPT_GRACE + KILL_MARGIN);
-    if tokio::time::timeout(remaining, node.caller_connections.wait())
+    let ended = node.caller_connections.wait();
+    if tokio::time::timeout_at(schedule.exit_by.into(), ended)
         .await
         .is_err()
     {
@@ -56,14 +54,26 @@
     }
 }
 
-/// Announces to the other VMs and to the store that this VM stops.
-async fn announce_leaving(node: &Arc<Node>, peers: &UdpSocket) {
-    let requests = node.running_requests.count();
+/// Plans the stop from the time that the platform allows. From then on only
+/// requests that end in time are sent to endpoints.
+fn begin_stop(node: &Node) -> StopSchedule {
+    let settings = node.settings.load();
+    let (now, grace) = (Instant::now(), settings.bounds.stop_grace);
+    let schedule = StopSchedule::new(now, grace, ACCEPT_TIME, Duration::ZERO);
+    node.stopping.send_replace(Some(schedule));
     log::info!(
-        "event=leaving vm={} requests={requests}",
-        node.settings.load().vm
+        "event=leaving vm={} requests={} grace_ms={} accept_ms={} respond_ms={}",
+        settings.vm,
+        node.running_requests.count(),
+        grace.as_millis(),
+        (schedule.accept_until - now).as_millis(),
+        (schedule.respond_by - now).as_millis(),
     );
-    node.leaving.send_replace(true);
+    schedule
+}
+
+/// Announces to the other VMs and to the store that this VM stops.
+async fn announce_leaving(node: &Arc<Node>, peers: &UdpSocket) {
     lock(&node.quotas).mark_leaving();
     heartbeat::send_once(node, peers, BroadcastScope::Fleet).await;
     tokio::spawn(vm_entries::delist(Arc::clone(node)));
--- a/crates/filbertgrade/src/request/mod.rs
+++ b/crates/filbertgrade/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod limits;
 mod refusal;
+mod stop;
 mod upload;
 
 pub use attempt::{
@@ -23,4 +24,5 @@
     MIN_DEADLINE, deadline_of, idempotency_key_of,
 };
 pub use refusal::{Cause, Outcome, Refusal};
+pub use stop::StopSchedule;
 pub use upload::{BODY_IDLE_TIMEOUT, MAX_REPLAYABLE_BYTES, Upload, UploadBody, UploadError};
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -158,6 +158,11 @@
 
 impl Node {
     pub(crate) async fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with_grace(name, store, 6).await
+    }
+
+    /// Starts a node that the platform kills `grace_s` seconds after SIGTERM.
+    pub(crate) async fn start_with_grace(name: &str, store: SocketAddr, grace_s: u64) -> Self {
         let ip = unique_loopback_address();
         let [callers, lookups, ready, peers, metrics] = PORTS;
         let address = |port: u16| SocketAddr::from((ip, port));
@@ -167,7 +172,7 @@
             "node-name = \"{name}\"\nip = \"{ip}\"\nzone = \"north-a\"\nregion = \"north\"\n\
              internal-ports = [{peers}, {peers}]\n[zones]\nnorth-a = \"north\"\n\
              [listen]\nfront = \"{}\"\ndirectory = \"{}\"\nready = \"{}\"\n\
-             [bounds]\ngrace-s = 6\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-slack = 20\n\
+             [bounds]\ngrace-s = {grace_s}\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-slack = 20\n\
              [platform]\naddress = \"{store}\"\n",
             address(callers),
             address(lookups),
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -20,3 +20,4 @@
 mod restored;
 mod silence;
 mod stop;
+mod stop_under_load;
