Plan the stop of an entry from the time until it is killed

The entry waited up to 605 s for its requests, whatever its process manager allows, accepted new ones for the life of a lookup, and those on kept connections for a second more. With a shorter time to stop all that still ran was cut.

Before, the entry is still there when it is killed; now every request is answered, or refused as not run before it reaches a backend server.

--stop-grace-ms (default 640 s, for the longest deadline of 600 s) gives the time. The decision is that of the node, in the same StopSchedule; a quarter of the time, at most 7 s, is kept for returning loans and units.

--- a/crates/filbertgrade/src/process/command/dev/deployment.rs
+++ b/crates/filbertgrade/src/process/command/dev/deployment.rs
@@ -19,7 +19,7 @@
 use crate::platform::HttpPlatform;
 use crate::process::command::CommandError;
 use crate::process::command::apply::apply_text;
-use crate::process::settings::{Ports, VmSettings};
+use crate::process::settings::{DEFAULT_STOP_GRACE, Ports, VmSettings};
 use crate::process::{agent, entry};
 use crate::version::{Config, ConfigError, KeyRecord, KeySecret, KeyState, VmRecord, VmState};
 use crate::wire::{Body, StatusRequest};
@@ -422,6 +422,7 @@
         failure_domain: vm.failure_domain.clone(),
         store,
         ports,
+        stop_grace: DEFAULT_STOP_GRACE,
     };
     let agent_settings = settings.clone();
     [
--- a/crates/filbertgrade/src/process/command/flags.rs
+++ b/crates/filbertgrade/src/process/command/flags.rs
@@ -36,6 +36,8 @@
             optional --entry-operator-port port: String
             /// Operator port of the agent.
             optional --agent-operator-port port: String
+            /// Time from SIGTERM until the process is killed, in milliseconds.
+            optional --stop-grace-ms time: String
         }
         /// Runs the agent of a VM, which watches the platform and updates the entry.
         cmd agent {
@@ -59,6 +61,8 @@
             optional --entry-operator-port port: String
             /// Operator port of the agent.
             optional --agent-operator-port port: String
+            /// Time from SIGTERM until the process is killed, in milliseconds.
+            optional --stop-grace-ms time: String
         }
         /// Runs the node of a VM, on a platform that provides its own store.
         cmd node {
@@ -214,6 +218,7 @@
                     agent_peer_port: self.agent_peer_port,
                     entry_operator_port: self.entry_operator_port,
                     agent_operator_port: self.agent_operator_port,
+                    stop_grace_ms: self.stop_grace_ms,
                 };
                 VmSettings::resolve(flags, |name| std::env::var(name).ok())
             }
--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -69,20 +69,20 @@
 /// First bytes that a client sends on an HTTP/2 connection.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
-/// Accepts callers' connections until `stop` resolves. The connections that are
-/// then open are notified through `close`.
-pub(crate) async fn serve(
+/// Accepts callers' connections until `stop` resolves, and returns its result. The
+/// connections that are then open are notified through `close`.
+pub(crate) async fn serve<T>(
     entry: &Arc<Entry>,
     listener: TcpListener,
     close: &watch::Receiver<bool>,
-    stop: impl Future<Output = ()>,
-) {
+    stop: impl Future<Output = T>,
+) -> T {
     let mut stop = pin!(stop);
-    loop {
+    let stopped = loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = &mut stop => break,
+            stopped = &mut stop => break stopped,
         };
         match accepted {
             Ok((stream, caller_address)) => accept(entry, stream, caller_address, close.clone()),
@@ -91,9 +91,10 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
-    }
+    };
     let accepting = accept_established(entry, &listener, close);
     let _ = tokio::time::timeout(FINAL_ACCEPT_TIME, accepting).await;
+    stopped
 }
 
 /// Accepts connections that the kernel has already established. They would be
--- a/crates/filbertgrade/src/process/entry/dump.rs
+++ b/crates/filbertgrade/src/process/entry/dump.rs
@@ -1,7 +1,6 @@
 //! Readiness, gauges and state dumps of the entry's operator port.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use serde_json::{Value, json};
@@ -23,7 +22,7 @@
 }
 
 fn readiness(entry: &Entry) -> Result<(), &'static str> {
-    if entry.leaving.load(Ordering::Acquire) {
+    if entry.is_leaving() {
         return Err("the process is leaving");
     }
     if entry.view().config.is_none() {
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -139,7 +139,12 @@
         Some(key) if !call.idempotent => Some(claim_key(entry, &call, &key).await?),
         _ => None,
     };
-    let response = send_with_retries(entry, &call, claim.as_mut()).await;
+    let response = tokio::select! {
+        biased;
+        response = send_with_retries(entry, &call, claim.as_mut()) => response,
+        // The last attempt may be running.
+        () = entry.last_responses_due() => Err(Refusal::unknown(Cause::BackendSilent)),
+    };
     let result = response
         .as_ref()
         .map(|response| response.status().as_u16())
@@ -304,8 +309,8 @@
     }
 }
 
-/// Waits for a slot. The key is checked again afterwards, because it may have
-/// been withdrawn during the wait.
+/// Waits for a slot. The key and the time to stop are checked again afterwards,
+/// because they may have changed during the wait.
 async fn acquire_slot(
     entry: &Entry,
     call: &Call<'_>,
@@ -314,6 +319,7 @@
     if remaining_time(call) < MIN_DEADLINE {
         return Err(Refusal::not_run(Cause::DeadlinePassed));
     }
+    check_stop(entry, call)?;
     let criteria = SlotCriteria {
         service: call.service.clone(),
         team: call.team.clone(),
@@ -322,6 +328,7 @@
     };
     let view = entry.in_force.load_full();
     let slot = entry.slots.acquire(&view, &criteria).await?;
+    check_stop(entry, call)?;
     let view = entry.in_force.load_full();
     if let Some(key) = &call.key {
         find_team(entry, &view, key)?;
@@ -329,6 +336,15 @@
     Ok((slot, view))
 }
 
+/// Refuses a request that could still run when a stopping process is killed.
+fn check_stop(entry: &Entry, call: &Call<'_>) -> Result<(), Refusal> {
+    if entry.permits_until(call.deadline) {
+        Ok(())
+    } else {
+        Err(Refusal::not_run(Cause::Leaving))
+    }
+}
+
 async fn run_attempt(
     entry: &Arc<Entry>,
     call: &Call<'_>,
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -17,7 +17,6 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,7 +32,7 @@
 use crate::process::operator;
 use crate::process::settings::VmSettings;
 use crate::process::tasks::Tasks;
-use crate::request::{Guard, RetryBudget};
+use crate::request::{Guard, RetryBudget, StopSchedule};
 use crate::sync::lock;
 use crate::version::InForce;
 
@@ -82,7 +81,9 @@
     /// an attempt.
     background: Tasks,
     retry_budget: Mutex<RetryBudget>,
-    leaving: AtomicBool,
+    /// Times of the planned stop; `None` until the process has received the signal
+    /// to stop.
+    stopping: watch::Sender<Option<StopSchedule>>,
 }
 
 impl Entry {
@@ -100,7 +101,7 @@
             refused_callers: Tasks::default(),
             background,
             retry_budget: Mutex::new(RetryBudget::new(Instant::now())),
-            leaving: AtomicBool::new(false),
+            stopping: watch::Sender::new(None),
             settings,
             links,
             in_force,
@@ -121,7 +122,20 @@
 
     /// Returns whether the process has received the signal to stop.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.stopping.borrow().is_some()
+    }
+
+    /// Returns whether a request with this deadline may be sent to a backend
+    /// server, unless the process stops before a response can be expected.
+    pub(crate) fn permits_until(&self, deadline: Instant) -> bool {
+        let stopping = *self.stopping.borrow();
+        stopping.is_none_or(|schedule| schedule.permits(deadline))
+    }
+
+    /// Resolves when the requests that still run must be answered because the
+    /// process is about to exit.
+    pub(crate) async fn last_responses_due(&self) {
+        StopSchedule::wait_for_last_responses(self.stopping.subscribe()).await;
     }
 
     /// Runs `f` while holding the lock on the retry budget.
@@ -158,8 +172,8 @@
     tokio::spawn(close_expired(Arc::clone(&entry)));
     let close = watch::Sender::new(false);
     let leave = shutdown::leave_on(&entry, stop);
-    caller::serve(&entry, listener, &close.subscribe(), leave).await;
-    shutdown::stop_gracefully(&entry, &close).await;
+    let schedule = caller::serve(&entry, listener, &close.subscribe(), leave).await;
+    shutdown::stop_gracefully(&entry, &close, &schedule).await;
     Ok(())
 }
 
--- a/crates/filbertgrade/src/process/entry/shutdown.rs
+++ b/crates/filbertgrade/src/process/entry/shutdown.rs
@@ -2,17 +2,16 @@
 //! exits.
 
 use std::future::Future;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
 use super::Entry;
-use crate::request::MAX_DEADLINE;
+use crate::request::StopSchedule;
 
-/// Time allowed in addition to the longest deadline for writing the last
-/// responses.
-const RESPONSE_MARGIN: Duration = Duration::from_secs(5);
+/// The time to stop divided by this is kept free for returning loans and units
+/// after the last response, but at most [`LONGEST_RETURN`].
+const RETURN_DIVISOR: u32 = 4;
 
 /// Longest time for returning loans. It equals the lease of a loan (2 s), after
 /// which a loan that was not returned expires.
@@ -23,6 +22,9 @@
 /// that no longer contains the units.
 const UNIT_TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time for returning loans and units.
+const LONGEST_RETURN: Duration = LOAN_RETURN_TIMEOUT.saturating_add(UNIT_TRANSFER_TIMEOUT);
+
 /// Interval between two checks of the share table.
 const UNIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -30,27 +32,40 @@
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// Waits for `stop` and marks the VM as leaving, then waits until the lookup
-/// responses that still contain this VM have expired.
-pub(crate) async fn leave_on(entry: &Entry, stop: impl Future<Output = ()>) {
+/// responses that still contain this VM have expired, if the time to stop permits.
+pub(crate) async fn leave_on(entry: &Entry, stop: impl Future<Output = ()>) -> StopSchedule {
     stop.await;
-    entry.leaving.store(true, Ordering::Release);
-    log::info!("event=leaving vm={}", entry.settings.vm);
     let view = entry.in_force.load_full();
     let ttl = view
         .config
         .as_ref()
         .map_or(Duration::ZERO, |c| c.lookup_ttl);
-    tokio::time::sleep(ttl).await;
+    let grace = entry.settings.stop_grace;
+    let reserved = LONGEST_RETURN.min(grace / RETURN_DIVISOR);
+    let now = Instant::now();
+    let schedule = StopSchedule::new(now, grace, ttl, reserved);
+    entry.stopping.send_replace(Some(schedule));
+    log::info!(
+        "event=leaving vm={} grace_ms={} accept_ms={} respond_ms={}",
+        entry.settings.vm,
+        grace.as_millis(),
+        (schedule.accept_until - now).as_millis(),
+        (schedule.respond_by - now).as_millis(),
+    );
+    tokio::time::sleep_until(schedule.accept_until.into()).await;
+    schedule
 }
 
 /// Closes idle connections of callers, waits for running requests, returns the
 /// VM's loans, and waits until its units have been moved to other VMs.
-pub(crate) async fn stop_gracefully(entry: &Entry, close: &watch::Sender<bool>) {
+pub(crate) async fn stop_gracefully(
+    entry: &Entry,
+    close: &watch::Sender<bool>,
+    schedule: &StopSchedule,
+) {
     close.send_replace(true);
-    let requests = tokio::time::timeout(
-        MAX_DEADLINE + RESPONSE_MARGIN,
-        entry.caller_connections.wait(),
-    );
+    let requests = entry.caller_connections.wait();
+    let requests = tokio::time::timeout_at(schedule.close_by.into(), requests);
     if requests.await.is_err() {
         log::error!(
             "event=requests_cut connections={}",
@@ -59,15 +74,18 @@
     }
     // A loan that is not returned stays unusable for its team until its lease
     // expires.
+    let at_most = |limit| (Instant::now() + limit).min(schedule.exit_by).into();
     let loan_returns = entry.admission.return_all_loans();
-    let _ = tokio::time::timeout(LOAN_RETURN_TIMEOUT, loan_returns).await;
-    if tokio::time::timeout(UNIT_TRANSFER_TIMEOUT, wait_for_unit_transfer(entry))
+    let _ = tokio::time::timeout_at(at_most(LOAN_RETURN_TIMEOUT), loan_returns).await;
+    let unit_transfer = wait_for_unit_transfer(entry);
+    if tokio::time::timeout_at(at_most(UNIT_TRANSFER_TIMEOUT), unit_transfer)
         .await
         .is_err()
     {
         log::warn!("event=units_not_moved vm={}", entry.settings.vm);
     }
-    let background = tokio::time::timeout(BACKGROUND_TIMEOUT, entry.background.wait());
+    let background = entry.background.wait();
+    let background = tokio::time::timeout_at(at_most(BACKGROUND_TIMEOUT), background);
     if background.await.is_err() {
         log::warn!("event=background_cut tasks={}", entry.background.count());
     }
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -229,13 +229,7 @@
     /// Resolves when the requests that still run must be answered because the
     /// process is about to exit.
     pub(crate) async fn last_responses_due(&self) {
-        let mut stopping = self.stopping.subscribe();
-        // The sender is part of the node, so that the channel does not close.
-        if let Ok(schedule) = stopping.wait_for(Option::is_some).await.map(|s| *s)
-            && let Some(schedule) = schedule
-        {
-            tokio::time::sleep_until(schedule.respond_by.into()).await;
-        }
+        StopSchedule::wait_for_last_responses(self.stopping.subscribe()).await;
     }
 
     /// True while the copy of the configuration is recent enough to accept
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -43,7 +43,7 @@
     let schedule = callers::serve_requests(node, listener, &close.subscribe(), leave).await;
     let _ = close.send(true);
     let ended = node.caller_connections.wait();
-    if tokio::time::timeout_at(schedule.exit_by.into(), ended)
+    if tokio::time::timeout_at(schedule.close_by.into(), ended)
         .await
         .is_err()
     {
--- a/crates/filbertgrade/src/process/settings.rs
+++ b/crates/filbertgrade/src/process/settings.rs
@@ -23,6 +23,11 @@
     pub store: SocketAddr,
     /// Ports of the processes.
     pub ports: Ports,
+    /// Time from SIGTERM until the process manager kills the process. Default
+    /// 640 s, in which a request with the longest deadline ends. If it is set
+    /// longer than it is, a stop cuts requests; if shorter, the entry refuses
+    /// requests that it could have served.
+    pub stop_grace: Duration,
 }
 
 /// Ports of the processes of a VM, the same on every VM.
@@ -77,8 +82,14 @@
     pub entry_operator_port: Option<String>,
     /// `--agent-operator-port`
     pub agent_operator_port: Option<String>,
+    /// `--stop-grace-ms`
+    pub stop_grace_ms: Option<String>,
 }
 
+/// Default time from SIGTERM until a process is killed: the longest deadline of a
+/// request, and what the entry does after the last response.
+pub const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(640);
+
 /// Default limit for the wait of a command: twice the time in which a change is
 /// in force everywhere, rounded down.
 const DEFAULT_WAIT_LIMIT_MS: u64 = 15_000;
@@ -175,6 +186,8 @@
             ),
         };
         reader.check_ports(ports);
+        let default_ms = DEFAULT_STOP_GRACE.as_millis() as u64;
+        let stop_grace_ms = reader.optional("stop-grace-ms", flags.stop_grace_ms, default_ms);
         if address.is_some_and(|address: IpAddr| address.is_unspecified()) {
             let fault = "--address: the VM's own address is needed, not one for all interfaces";
             reader.faults.push(fault.to_owned());
@@ -190,6 +203,7 @@
                     failure_domain,
                     store,
                     ports,
+                    stop_grace: Duration::from_millis(stop_grace_ms),
                 })
             }
             _ => Err(SettingsError {
--- a/crates/filbertgrade/src/request/stop.rs
+++ b/crates/filbertgrade/src/request/stop.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
 /// Margin before the platform kills the process, in which it ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
@@ -10,7 +12,7 @@
 
 /// The times of a planned stop.
 ///
-/// Invariant: `accept_until <= respond_by <= exit_by`, and all of them lie before
+/// Invariant: `accept_until <= respond_by <= close_by <= exit_by`, and all of them lie before
 /// the end of the time that the platform allows, unless that is shorter than the
 /// margins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +22,8 @@
     pub accept_until: Instant,
     /// When the last requests are answered, also those that still run.
     pub respond_by: Instant,
+    /// When the connections of callers are closed.
+    pub close_by: Instant,
     /// When the process exits.
     pub exit_by: Instant,
 }
@@ -42,6 +46,7 @@
         Self {
             accept_until: respond_by.min(signalled_at + accept_for),
             respond_by,
+            close_by: exit_by.min(respond_by + WRITE_TIME),
             exit_by,
         }
     }
@@ -54,4 +59,14 @@
     pub fn permits(&self, deadline: Instant) -> bool {
         deadline <= self.respond_by
     }
+
+    /// Resolves when the last responses of a planned stop are due. Never resolves
+    /// without one.
+    pub(crate) async fn wait_for_last_responses(mut stopping: watch::Receiver<Option<Self>>) {
+        let schedule = stopping.wait_for(Option::is_some).await.map(|s| *s);
+        match schedule {
+            Ok(Some(schedule)) => tokio::time::sleep_until(schedule.respond_by.into()).await,
+            _ => std::future::pending().await,
+        }
+    }
 }
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -354,6 +354,16 @@
         self.entry = spawn("entry", self.address, self.store, &self.platform_record);
     }
 
+    /// Kills the entry and starts a new one that knows how long after SIGTERM it is
+    /// killed.
+    pub(crate) fn restart_entry_with_grace(&mut self, grace: Duration) {
+        kill_and_reap(&mut self.entry);
+        self.entry = command("entry", self.address, self.store, &self.platform_record)
+            .args(["--stop-grace-ms", &grace.as_millis().to_string()])
+            .spawn()
+            .unwrap();
+    }
+
     /// Returns the address of the callers' port.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, 7080)
@@ -374,7 +384,14 @@
 }
 
 fn spawn(role: &str, address: IpAddr, store: SocketAddr, platform_record: &VmEntry) -> Child {
-    Command::new(BINARY)
+    command(role, address, store, platform_record)
+        .spawn()
+        .unwrap()
+}
+
+fn command(role: &str, address: IpAddr, store: SocketAddr, platform_record: &VmEntry) -> Command {
+    let mut command = Command::new(BINARY);
+    command
         .arg(role)
         .args([
             "--vm",
@@ -387,9 +404,8 @@
         .args(["--store", &store.to_string()])
         .env("RUST_LOG", "error")
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap()
+        .stdout(Stdio::null());
+    command
 }
 
 /// Sends one request on a new connection and reads the whole response.
--- a/crates/filbertgrade/tests/node/stop_under_load.rs
+++ b/crates/filbertgrade/tests/node/stop_under_load.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::cluster::{KEY, Node, TestCluster};
-use filbertgrade_standins::node::endpoint::header;
+use filbertgrade_standins::node::endpoint::{Endpoint, header};
 
 const CALLERS: u64 = 24;
 
@@ -71,7 +71,7 @@
     let ran: HashSet<String> = cluster
         .endpoints
         .iter()
-        .flat_map(|endpoint| endpoint.run_heads())
+        .flat_map(Endpoint::run_heads)
         .map(|head| header(&head, "x-filbertgrade-request-id"))
         .collect();
     let seen = seen.lock().unwrap().clone();
