Test drains while both relays of a node have no power

The store is 55 ms away, one way.

FaultProxy::lose_power freezes open connections and puts a port in the place of the listener whose queue is full, so that the kernel drops requests for new connections.

Evidence: drain_arrives_in_time_although_relays_have_lost_power, 3, 9 and 13 nodes, bound drain-s 2.5 s.

--- a/crates/filbertgrade-standins/src/lib.rs
+++ b/crates/filbertgrade-standins/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod proxy;
 mod response;
 pub mod soak;
+pub mod unanswered;
--- a/crates/filbertgrade-standins/src/proxy.rs
+++ b/crates/filbertgrade-standins/src/proxy.rs
@@ -26,6 +26,7 @@
 use tokio::time::Instant;
 
 use crate::common::{lock, sleep_until};
+use crate::unanswered::UnansweredPort;
 
 /// Largest chunk in bytes that is read, paced and written at once.
 const MAX_CHUNK_BYTES: usize = 16 * 1024;
@@ -112,6 +113,8 @@
     /// Connections end when this sender is dropped.
     _stop: watch::Sender<()>,
     accept_task: tokio::task::JoinHandle<()>,
+    /// Takes the place of the listener after a loss of power.
+    unanswered: Option<UnansweredPort>,
 }
 
 impl FaultProxy {
@@ -134,6 +137,7 @@
             shared,
             _stop: stop,
             accept_task,
+            unanswered: None,
         })
     }
 
@@ -210,6 +214,21 @@
         self.freeze_where(|_| true);
     }
 
+    /// Behaves like a VM that loses power, for good: open connections are frozen, and new ones get
+    /// no answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port cannot be made to give no answer.
+    pub async fn lose_power(&mut self) -> io::Result<()> {
+        self.freeze_open();
+        self.accept_task.abort();
+        // The listener is closed once the task has ended.
+        let _ = (&mut self.accept_task).await;
+        self.unanswered = Some(UnansweredPort::bind(self.addr).await?);
+        Ok(())
+    }
+
     /// Freezes every open connection from `source`, as [`freeze_open`](Self::freeze_open) does.
     pub fn freeze_open_from(&self, source: IpAddr) {
         self.freeze_where(|from| from == source);
--- a/crates/filbertgrade/tests/node/silence.rs
+++ b/crates/filbertgrade/tests/node/silence.rs
@@ -12,7 +12,7 @@
 
 use crate::cluster::{Node, TestCluster, eventually};
 use filbertgrade_standins::node::unique_loopback_address;
-use filbertgrade_standins::proxy::FaultProxy;
+use filbertgrade_standins::proxy::{Direction, Fault, FaultProxy};
 
 /// Shortest time on any deployment within which a drain must be in force on a
 /// VM without faults.
@@ -22,6 +22,9 @@
 /// distance on these deployments: two round trips of 110 ms.
 const STORE_CALL_TIME: Duration = Duration::from_millis(220);
 
+/// One-way latency between a region and the store's region.
+const ONE_WAY_TO_STORE: Duration = Duration::from_millis(55);
+
 /// Time after a fault of its connections from which a VM must meet the bounds
 /// again.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
@@ -151,6 +154,46 @@
     assert!(slowest < DRAIN_BOUND - STORE_CALL_TIME, "{slowest:?}");
 }
 
+/// Guards against nodes that learn of a drain too late because both of their relays
+/// lost power: open connections are silent, new ones get no answer, and the store
+/// is in another region.
+#[rstest]
+#[case::one_node_left(3, 2)]
+#[case::seven_nodes_left(9, 2)]
+#[case::first_relay_of_two_levels(13, 1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_arrives_in_time_although_relays_have_lost_power(
+    #[case] nodes: usize,
+    #[case] lost: usize,
+) {
+    let mut fleet = ProxiedFleet::start(nodes).await;
+    let distant = Fault {
+        delay: ONE_WAY_TO_STORE,
+        ..Fault::default()
+    };
+    fleet.store.set_fault(Direction::ToServer, distant.clone());
+    fleet.store.set_fault(Direction::ToClient, distant);
+    tokio::time::sleep(START_TIME).await;
+    fleet.sort_by_use_as_relay();
+    for (node, relay) in fleet.cluster.nodes.iter().zip(&fleet.relays).take(lost) {
+        relay.freeze_open();
+        node.signal(Signal::STOP);
+    }
+    let drained_at = Instant::now();
+    let endpoint = &fleet.cluster.endpoints[0];
+    fleet.cluster.register(endpoint, "draining");
+    let relays = fleet.relays.iter_mut().take(lost);
+    for lost in futures::future::join_all(relays.map(FaultProxy::lose_power)).await {
+        lost.unwrap();
+    }
+    for node in &fleet.cluster.nodes[lost..] {
+        node.line_with(&DRAIN_RECEIVED).await;
+        let elapsed = drained_at.elapsed();
+        let late = format!("{} after {elapsed:?}:\n{}", node.name, node.log());
+        assert!(elapsed < DRAIN_BOUND, "{late}");
+    }
+}
+
 /// Nodes that reach the store and each other through proxies.
 struct ProxiedFleet {
     cluster: TestCluster,
@@ -203,6 +246,18 @@
     }
 }
 
+impl ProxiedFleet {
+    /// Sorts the nodes and their proxies so that those with the most followers
+    /// come first.
+    fn sort_by_use_as_relay(&mut self) {
+        let nodes = std::mem::take(&mut self.cluster.nodes);
+        let relays = std::mem::take(&mut self.relays);
+        let mut pairs: Vec<_> = nodes.into_iter().zip(relays).collect();
+        pairs.sort_by_key(|(_, relay)| std::cmp::Reverse(relay.open_connections()));
+        (self.cluster.nodes, self.relays) = pairs.into_iter().unzip();
+    }
+}
+
 /// Replaces the address of a node for other nodes by one that forwards
 /// connections and datagrams to it.
 async fn proxy_peer(cluster: &TestCluster, name: &str) -> FaultProxy {
