Read on after refusing an upload, so that its caller gets the refusal (node)

What callers see: an upload that is refused before its body is read ends with a reset in place of the refusal, and so does the next request on the connection.

Cause: the body was dropped with the refusal, and the connection closed with unread bytes.

--- a/crates/filbertgrade/src/process/node/body.rs
+++ b/crates/filbertgrade/src/process/node/body.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
@@ -20,6 +21,13 @@
 /// Memory for request bodies if the settings have no memory limit.
 const DEFAULT_BUDGET_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Longest time for reading the rest of a body whose request was refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most bytes of such a rest that are read. After that the connection is closed,
+/// which may lose the refusal.
+const MAX_DISCARDED_BYTES: usize = 8 * 1024 * 1024;
+
 /// Limits the memory that all request bodies take together.
 #[derive(Debug)]
 pub(crate) struct BodyBudget {
@@ -98,6 +106,7 @@
     pub(crate) async fn read(&self, body: Incoming, max_bytes: u64) -> Result<Upload, BodyError> {
         let hint = body.size_hint();
         if hint.lower() > max_bytes {
+            discard(body);
             return Err(BodyError::TooLarge);
         }
         if body.is_end_stream() {
@@ -110,13 +119,17 @@
         let buffer_bytes = hint.upper().map_or(MAX_BUFFERED_BYTES as u64, |n| {
             n.min(MAX_BUFFERED_BYTES as u64)
         });
-        let reservation = self.reserve(buffer_bytes).ok_or(BodyError::NoMemory)?;
+        let Some(reservation) = self.reserve(buffer_bytes) else {
+            discard(body);
+            return Err(BodyError::NoMemory);
+        };
         let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
         let body = buffer_body(body, limit.min(MAX_BUFFERED_BYTES))
             .await
             .map_err(|_| BodyError::Truncated)?;
         let body = match body {
-            BufferedBody::Partial(..) if limit <= MAX_BUFFERED_BYTES => {
+            BufferedBody::Partial(_, rest) if limit <= MAX_BUFFERED_BYTES => {
+                discard(rest);
                 return Err(BodyError::TooLarge);
             }
             body => body,
@@ -129,6 +142,27 @@
     }
 }
 
+/// Reads and discards the rest of the body of a refused request, in a task of its
+/// own. If it were not read, the connection would be reset, and a caller that is
+/// still sending would lose the refusal.
+pub(crate) fn discard(mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::spawn(async move {
+        let read = async {
+            let mut discarded = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                discarded += frame.data_ref().map_or(0, Bytes::len);
+                if discarded > MAX_DISCARDED_BYTES {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+    });
+}
+
 /// Reads a body until it is complete or more than `limit` bytes have arrived.
 pub(crate) async fn buffer_body(
     mut body: Incoming,
@@ -174,6 +208,14 @@
     }
 }
 
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if let Some(BufferedBody::Partial(_, rest)) = self.body.take() {
+            discard(rest);
+        }
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.available.fetch_add(self.bytes, Ordering::AcqRel);
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -18,7 +18,7 @@
 
 use super::Node;
 use super::attempt::{self, AttemptResult};
-use super::body::{BodyError, Upload};
+use super::body::{self, BodyError, Upload};
 use super::responses::{self, Body};
 use super::routing::{
     Call, DEFAULT_TIMEOUT, OTHER_VM_RETRY_DELAY, Refused, id_of, is_key_valid, route_request,
@@ -72,7 +72,10 @@
     node.wait_for_first_read().await;
     let call = match route_request(node, parts, head.clone(), arrived) {
         Ok(call) => call,
-        Err(refused) => return refuse(&head, &refused, arrived, "route=none"),
+        Err(refused) => {
+            body::discard(body);
+            return refuse(&head, &refused, arrived, "route=none");
+        }
     };
     let mut progress = Progress::default();
     let result = tokio::select! {
@@ -113,7 +116,10 @@
     body: Incoming,
     progress: &mut Progress,
 ) -> Result<Response<Body>, Refused> {
-    admit(node, call).await?;
+    if let Err(refused) = admit(node, call).await {
+        body::discard(body);
+        return Err(refused);
+    }
     lock(&node.balancer).count_request(&call.service, call.priority(), call.arrived);
     let mut upload = read_body(node, call, body).await?;
     let mut running = FuturesUnordered::new();
--- a/crates/filbertgrade/tests/node/requests.rs
+++ b/crates/filbertgrade/tests/node/requests.rs
@@ -239,3 +239,76 @@
     assert_eq!(&status_line, b"HTTP/1.1 413");
     assert_eq!(cluster.requests_run(), 0);
 }
+
+/// Guards against a refusal that its caller loses, because the node resets the
+/// connection on which the body is still arriving.
+#[rstest]
+#[case::over_the_rate("order", KEY, 90_000, 429)]
+#[case::unknown_route("nothing", KEY, 90_000, 404)]
+#[case::unknown_key("order", "key-of-nobody", 90_000, 401)]
+#[case::too_long("order", KEY, 200_000, 413)]
+#[case::no_endpoint("order", KEY, 2_000_000, 503)]
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_still_sends_its_body(
+    #[case] route: &str,
+    #[case] key: &str,
+    #[case] length: usize,
+    #[case] status: u16,
+    #[values(true, false)] chunked: bool,
+) {
+    let mut cluster = TestCluster::start(&[10]).await;
+    if status == 429 {
+        cluster.configure(|spec| {
+            spec["tenants"][0]["rate-per-s"] = 0.001.into();
+            spec["tenants"][0]["burst"] = 1.into();
+        });
+        let used_up = || async { cluster.get("safe", "u1").await.status == 429 };
+        crate::cluster::eventually("the team is over its rate", used_up).await;
+    }
+    if status == 503 {
+        cluster.configure(|spec| {
+            spec["limits"]["max-body-bytes"] = 4_000_000.into();
+            let mut service = spec["services"][0].clone();
+            service["name"] = "without-endpoints".into();
+            spec["services"].as_array_mut().unwrap().push(service);
+            spec["routes"][1]["service"] = "without-endpoints".into();
+        });
+        let version = format!("configuration_in_force version={} ", cluster.version());
+        cluster.nodes[0].line_with(&[&version]).await;
+    }
+    let (length_line, parts) = if chunked {
+        let chunk = format!("{:x}\r\n{}\r\n", length / 4, "x".repeat(length / 4));
+        let parts = [chunk.repeat(2), format!("{}0\r\n\r\n", chunk.repeat(2))];
+        ("transfer-encoding: chunked".to_owned(), parts)
+    } else {
+        let half = "x".repeat(length / 2);
+        (format!("content-length: {length}"), [half.clone(), half])
+    };
+    let head = format!(
+        "POST /{route}/1 HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: j1\r\n\
+         authorization: Bearer {key}\r\n{length_line}\r\n\r\n"
+    );
+    let node = cluster.nodes[0].callers;
+    let mut stream = tokio::net::TcpStream::connect(node).await.unwrap();
+    for part in [&head, &parts[0]] {
+        tokio::io::AsyncWriteExt::write_all(&mut stream, part.as_bytes())
+            .await
+            .unwrap();
+    }
+    // The node refuses while the rest is under way.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let next = "GET /open/1 HTTP/1.1\r\nhost: shop.example\r\nx-filbertgrade-request-id: j2\r\n\
+                connection: close\r\n\r\n";
+    for part in [&parts[1], next] {
+        tokio::io::AsyncWriteExt::write_all(&mut stream, part.as_bytes())
+            .await
+            .unwrap();
+    }
+    let mut bytes = Vec::new();
+    tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes)
+        .await
+        .unwrap();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+    assert!(text.contains("answer of i-0 to j2"), "{text}");
+}
