Let the soak judge refusals on all kinds of request, and cut requests

The soak could not have seen the users' three cases of REFUSED, nor the cut at the end of a planned stop: - its requests had no bodies, worked for 15 ms each, and no endpoint answered with a promise that it had not given; - runs were collected for the last time before the VMs were killed; - of a planned stop it judged the exit of the process, not its requests.

Now callers send bodies with a length and in chunks, 6 in 100 requests work for 0.3 to 2.8 s, every third caller goes back to its VM until that accepts no more, and every second VM has 4 s to stop. Endpoints refuse before they have read a body, refuse twice, and run a request that they answer 429 or 503. TrueRefusal counts runs up to 1 s after the end of all VMs. The new promise AnsweredStop: no request that ran is cut as its VM stops.

Shown able to fail: each_check_finds_its_violation_and_no_other and run_after_the_refusal_is_found.

--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -13,8 +13,11 @@
 /// Length of the body of a long refusal.
 const LONG_REFUSAL_BYTES: usize = 600_000;
 
-/// How an endpoint handles its requests. Each request runs, except with [`Self::Refuses`],
-/// [`Self::RefusesAtLength`] and [`Self::IsAnother`]. The plan of a soak prints the names of the variants.
+/// Time between a refusal and its second copy.
+const SECOND_COPY_DELAY: Duration = Duration::from_millis(100);
+
+/// How an endpoint handles its requests. Each request runs, except with those variants whose names
+/// say that it refuses, and [`Self::IsAnother`]. The plan of a soak prints the names of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointBehavior {
     /// Responds with status 200.
@@ -23,6 +26,10 @@
     Refuses,
     /// Like [`Self::Refuses`], with a body that is longer than a node buffers.
     RefusesAtLength,
+    /// Like [`Self::Refuses`], before it has read the body, and reads on afterwards.
+    RefusesEarly,
+    /// Like [`Self::Refuses`], and sends the refusal once more a little later.
+    RefusesTwice,
     /// Closes the connection without a response.
     LosesAnswer,
     /// Never responds, but keeps the connection open.
@@ -51,7 +58,7 @@
     /// Address that it accepts requests on.
     pub address: SocketAddr,
     behavior: Arc<Mutex<EndpointBehavior>>,
-    /// Time for which it works on each request.
+    /// Time for which it works on each request that names no other.
     service_time: Duration,
     runs: Arc<Mutex<Vec<Run>>>,
     /// Requests a second that it names as its limit in each response.
@@ -164,20 +171,34 @@
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buf = Vec::new();
         loop {
-            let Some(head) = read_request(&mut stream, &mut buf).await? else {
+            let Some(head) = read_head(&mut stream, &mut buf).await? else {
                 return Ok(());
             };
             let behavior = *lock(&self.behavior);
             let own = self.own_lines();
             lock(&self.arrivals).push(Instant::now());
             let id = header(&head, "x-filbertgrade-request-id");
+            let pause = self.pause_line();
+            let refusal = format!(
+                "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}{pause}content-length: 0\r\n\r\n"
+            );
+            if behavior == EndpointBehavior::RefusesEarly {
+                stream.write_all(refusal.as_bytes()).await?;
+            }
+            let length: usize = header(&head, "content-length").parse().unwrap_or(0);
+            if !read_body(&mut stream, &mut buf, length).await? {
+                return Ok(());
+            }
             match behavior {
+                EndpointBehavior::RefusesEarly => continue,
                 EndpointBehavior::Refuses => {
-                    let pause = self.pause_line();
-                    let response = format!(
-                        "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}{pause}content-length: 0\r\n\r\n"
-                    );
-                    stream.write_all(response.as_bytes()).await?;
+                    stream.write_all(refusal.as_bytes()).await?;
+                    continue;
+                }
+                EndpointBehavior::RefusesTwice => {
+                    stream.write_all(refusal.as_bytes()).await?;
+                    tokio::time::sleep(SECOND_COPY_DELAY).await;
+                    stream.write_all(refusal.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::RefusesAtLength => {
@@ -198,8 +219,9 @@
                 _ => {}
             }
             let at = Instant::now();
+            let work = work_named_in(&head).unwrap_or(self.service_time);
             lock(&self.runs).push(Run { head, at });
-            tokio::time::sleep(self.service_time).await;
+            tokio::time::sleep(work).await;
             let own = self.own_lines();
             match behavior {
                 EndpointBehavior::LosesAnswer => return Ok(()),
@@ -235,22 +257,20 @@
     }
 }
 
-/// Reads the next request with its body and returns its head in lower case, or `None` at the end of
-/// the connection.
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> std::io::Result<Option<String>> {
+/// Time in milliseconds that the query of a request names as its work.
+fn work_named_in(head: &str) -> Option<Duration> {
+    let target = head.split(' ').nth(1)?;
+    let (_, ms) = target.split_once("?work-ms=")?;
+    ms.parse().ok().map(Duration::from_millis)
+}
+
+/// Reads the head of the next request and returns it in lower case, or `None` at the end of the
+/// connection.
+async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> std::io::Result<Option<String>> {
     loop {
         if let Some(end) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..end]).to_lowercase();
-            let length: usize = header(&head, "content-length").parse().unwrap_or(0);
-            while buf.len() < end + 4 + length {
-                if stream.read_buf(buf).await? == 0 {
-                    return Ok(None);
-                }
-            }
-            buf.drain(..end + 4 + length);
+            buf.drain(..end + 4);
             return Ok(Some(head));
         }
         if stream.read_buf(buf).await? == 0 {
@@ -259,6 +279,21 @@
     }
 }
 
+/// Reads and discards a body. Returns false if the connection ends first.
+async fn read_body(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    length: usize,
+) -> std::io::Result<bool> {
+    while buf.len() < length {
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(false);
+        }
+    }
+    buf.drain(..length);
+    Ok(true)
+}
+
 /// Returns the value of a header in a head that is in lower case, or an empty string if it is
 /// missing.
 pub fn header(head: &str, name: &str) -> String {
--- a/crates/filbertgrade-standins/src/soak/fleet.rs
+++ b/crates/filbertgrade-standins/src/soak/fleet.rs
@@ -28,8 +28,9 @@
 const METRICS_PORT: u16 = 8_004;
 const PORTS_PER_VM: u16 = 10;
 
-/// Time within which a process must exit after SIGTERM.
-pub(super) const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Times within which a process must exit after SIGTERM, in seconds. They are assigned to the VMs
+/// in turn.
+const STOP_GRACES_S: [u64; 2] = [6, 4];
 
 /// A VM: its addresses, its proxy to the store and its process.
 #[derive(Debug)]
@@ -37,6 +38,8 @@
     pub(super) name: String,
     pub(super) caller_address: SocketAddr,
     pub(super) lookup_address: SocketAddr,
+    /// Time within which the process must exit after SIGTERM.
+    pub(super) stop_grace: Duration,
     /// Proxy between this VM and the store.
     pub(super) store_proxy: FaultProxy,
     /// Settings file of the process.
@@ -82,13 +85,14 @@
             .iter()
             .map(|(domain, region)| format!("{domain} = \"{region}\"\n"))
             .collect();
+        let grace_s = STOP_GRACES_S[number % STOP_GRACES_S.len()];
         let settings = log_dir.join(format!("{name}.toml"));
         let text = format!(
             "node-name = \"{name}\"\nip = \"{ip}\"\nzone = \"{domain}\"\nregion = \"{region}\"\n\
              internal-ports = [{peer_port}, {peer_port}]\n[zones]\n{zones}\
              [listen]\nfront = \"{ip}:{caller_port}\"\ndirectory = \"{ip}:{lookup_port}\"\n\
              ready = \"{ip}:{ready_port}\"\n\
-             [bounds]\ngrace-s = 6\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-slack = 20\n\
+             [bounds]\ngrace-s = {grace_s}\nrevoke-s = 5\nretry-budget-ratio = 0.2\nbudget-slack = 20\n\
              quota-slack = 20\n[platform]\naddress = \"{}\"\n",
             store_proxy.addr()
         );
@@ -97,6 +101,7 @@
             name,
             caller_address: SocketAddr::from((ip, caller_port)),
             lookup_address: SocketAddr::from((ip, lookup_port)),
+            stop_grace: Duration::from_secs(grace_s),
             store_proxy,
             settings,
             metrics_port,
@@ -109,7 +114,9 @@
 
     /// Starts the process unless it is running, with a new log file.
     pub(super) fn start(&mut self) -> io::Result<()> {
-        if self.child.is_some() {
+        if let Some(child) = &mut self.child
+            && child.try_wait()?.is_none()
+        {
             return Ok(());
         }
         self.start_count += 1;
--- a/crates/filbertgrade-standins/src/soak/inject.rs
+++ b/crates/filbertgrade-standins/src/soak/inject.rs
@@ -7,9 +7,9 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
-use super::fleet::{DOMAINS, STOP_TIMEOUT, Vm};
+use super::fleet::{DOMAINS, Vm};
 use super::plan::{Fault, Plan, PlannedFault};
-use super::promises::EndpointPeriod;
+use super::promises::{EndpointPeriod, StopPeriod};
 use super::{COLD_DURATION, ENDPOINTS, RunState};
 use crate::common::lock;
 use crate::node::endpoint::EndpointBehavior;
@@ -86,7 +86,7 @@
             tokio::time::sleep(length).await;
             vms[vm].lock().await.signal(Signal::CONT);
         }
-        Fault::StopVm(vm) => stop(state, &vms[vm], length).await,
+        Fault::StopVm(vm) => stop(state, vm, &vms[vm], length).await,
         Fault::StoreSilent => inject_store_fault(state, StoreFault::Unresponsive, length).await,
         Fault::StoreBusy => inject_store_fault(state, StoreFault::Busy, length).await,
         Fault::StoreForgets => state.store.discard_history(),
@@ -148,19 +148,28 @@
 
 /// Stops the process of a VM with SIGTERM, records it if it does not exit with success in time,
 /// and starts it again after `length`.
-async fn stop(state: &RunState, vm: &SharedVm, length: Duration) {
-    let (name, child) = {
+async fn stop(state: &RunState, number: usize, vm: &SharedVm, length: Duration) {
+    let (name, grace, child) = {
         let mut vm = vm.lock().await;
         // A suspended process handles SIGTERM only after SIGCONT.
         vm.signal(Signal::CONT);
         vm.signal(Signal::TERM);
-        (vm.name.clone(), vm.take_child())
+        (vm.name.clone(), vm.stop_grace, vm.take_child())
     };
     let Some(mut child) = child else {
         return;
     };
     let signalled_at = Instant::now();
-    let failure = match tokio::time::timeout(STOP_TIMEOUT, child.wait()).await {
+    let period = {
+        let mut history = lock(&state.history);
+        history.stops.push(StopPeriod {
+            vm: number,
+            from: signalled_at,
+            until: None,
+        });
+        history.stops.len() - 1
+    };
+    let failure = match tokio::time::timeout(grace, child.wait()).await {
         Ok(Ok(status)) if status.success() => None,
         Ok(Ok(status)) => Some(format!("{name} ended with {status}")),
         Ok(Err(error)) => Some(format!("{name}: {error}")),
@@ -169,6 +178,7 @@
             signalled_at.elapsed()
         )),
     };
+    lock(&state.history).stops[period].until = Some(Instant::now());
     if let Some(failure) = failure {
         lock(&state.history).failed_stops.push(failure);
         if let Err(error) = child.kill().await {
--- a/crates/filbertgrade-standins/src/soak/mod.rs
+++ b/crates/filbertgrade-standins/src/soak/mod.rs
@@ -23,7 +23,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
-use self::client::{CallerRequest, Connection};
+use self::client::{CallerBody, CallerRequest, Connection};
 use self::fleet::{DOMAINS, Vm};
 pub use self::plan::{Fault, Plan, PlannedFault};
 use self::promises::{EndpointPeriod, History, RequestRun, SentRequest, TeamLimit, Violation};
@@ -42,12 +42,28 @@
 /// Mean time for which a caller waits before each request.
 const MEAN_CALLER_PAUSE: Duration = Duration::from_millis(120);
 
+/// One caller in so many connects to the same VM again until it accepts no more, whatever lookups
+/// say, like a caller with an old response.
+const STALE_CALLER_INTERVAL: usize = 3;
+
 /// Probability that a caller closes its connection before a request and opens another one.
 const RECONNECT_PROBABILITY: f64 = 0.05;
 
 /// Time for which an endpoint works on a request.
 const SERVICE_TIME: Duration = Duration::from_millis(15);
 
+/// Probability that a request names a longer time, and this time in milliseconds. It may be longer
+/// than what is left of a planned stop.
+const LONG_WORK_PROBABILITY: f64 = 0.06;
+const LONG_WORK_MS: std::ops::Range<u64> = 300..2_800;
+
+/// Probability that a request that must not be repeated has a body, and its length in bytes.
+const BODY_PROBABILITY: f64 = 0.3;
+const BODY_BYTES: std::ops::Range<usize> = 1..900_000;
+
+/// Time after the end of all VMs in which a request that they have sent may still start to run.
+const LATE_RUN_TIME: Duration = Duration::from_secs(1);
+
 /// Rate of a cold endpoint in requests per second.
 const COLD_RATE: f64 = 3.5;
 
@@ -208,6 +224,8 @@
             lock(&state.history).versions.insert(name, versions);
         }
     }
+    tokio::time::sleep(LATE_RUN_TIME).await;
+    state.collect_runs();
     let history = lock(&state.history);
     for violation in history.violations() {
         if broken.iter().all(|b| b.promise != violation.promise) {
@@ -283,31 +301,57 @@
     number: usize,
 ) {
     let region = DOMAINS[number % DOMAINS.len()].1;
-    let mut open_connection: Option<Connection> = None;
+    let keeps_vm = number.is_multiple_of(STALE_CALLER_INTERVAL);
+    let mut last_vm: Option<usize> = None;
+    let mut open_connection: Option<(usize, Connection)> = None;
     loop {
         tokio::time::sleep(MEAN_CALLER_PAUSE.mul_f64(rng.random_range(0.2..1.8))).await;
         if rng.random_bool(RECONNECT_PROBABILITY) {
             open_connection = None;
         }
-        let connection = match open_connection.take() {
-            Some(connection) => connection,
+        let (vm, connection) = match open_connection.take() {
+            Some(open) => open,
+            None if keeps_vm && last_vm.is_some() => {
+                let vm = last_vm.take().unwrap_or_default();
+                match Connection::open(caller_addresses[vm]).await {
+                    Ok(connection) => (vm, connection),
+                    Err(_) => continue,
+                }
+            }
             None => {
                 let lookup_address = lookup_addresses[rng.random_range(0..lookup_addresses.len())];
                 let addresses = client::look_up(lookup_address, region)
                     .await
                     .unwrap_or_default();
-                let vm = match addresses.len() {
+                let address = match addresses.len() {
                     0 => caller_addresses[rng.random_range(0..caller_addresses.len())],
                     count => addresses[rng.random_range(0..count)],
                 };
-                match Connection::open(vm).await {
-                    Ok(connection) => connection,
+                let Some(vm) = caller_addresses.iter().position(|a| *a == address) else {
+                    continue;
+                };
+                match Connection::open(address).await {
+                    Ok(connection) => (vm, connection),
                     // The VM may be down; a later lookup returns another one.
                     Err(_) => continue,
                 }
             }
         };
-        open_connection = state.send_request(connection, &mut rng).await;
+        last_vm = Some(vm);
+        let connection = state.send_request(connection, vm, &mut rng).await;
+        open_connection = connection.map(|connection| (vm, connection));
+    }
+}
+
+fn draw_body(rng: &mut StdRng) -> CallerBody {
+    if !rng.random_bool(BODY_PROBABILITY) {
+        return CallerBody::None;
+    }
+    let bytes = rng.random_range(BODY_BYTES);
+    if rng.random_bool(0.5) {
+        CallerBody::WithLength(bytes)
+    } else {
+        CallerBody::Chunked(bytes)
     }
 }
 
@@ -369,7 +413,7 @@
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let route = |name: &str, route_type: &str| {
             json!({"name": name, "hostname": "shop.example", "path-prefix": format!("/{name}/"),
-                   "route-type": route_type, "timeout-s": 2, "target-latency-s": 0.5, "priority": 1,
+                   "route-type": route_type, "timeout-s": 3, "target-latency-s": 0.5, "priority": 1,
                    "service": "charts", "max-attempts": 2, "public": false, "sticky": true,
                    "home-regions": []})
         };
@@ -386,7 +430,7 @@
             "routes": [route("safe", "safe"), route("order", "unsafe")],
             "services": [{"name": "charts", "health-path": "/health", "max-conns": 100,
                           "cold-start-s": COLD_DURATION.as_secs_f64(), "cold-per-s": COLD_RATE}],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1_000_000,
                        "header-timeout-s": 3, "idle-timeout-s": 15},
             "tenants": tenants,
         });
@@ -413,7 +457,12 @@
 
     /// Sends one request on a connection and records its outcome. Returns the connection if it can
     /// be used again.
-    async fn send_request(&self, connection: Connection, rng: &mut StdRng) -> Option<Connection> {
+    async fn send_request(
+        &self,
+        connection: Connection,
+        vm: usize,
+        rng: &mut StdRng,
+    ) -> Option<Connection> {
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
         let id = format!("q{number}");
         let is_second_team = rng.random_bool(0.5);
@@ -429,11 +478,24 @@
             team,
             key: key.clone(),
             at: Instant::now(),
+            vm,
         };
         lock(&self.history).sent.insert(id.clone(), sent);
+        let route = if idempotent { "safe" } else { "order" };
+        let path = if rng.random_bool(LONG_WORK_PROBABILITY) {
+            let ms = rng.random_range(LONG_WORK_MS);
+            format!("/{route}/7?work-ms={ms}")
+        } else {
+            format!("/{route}/7")
+        };
         let request = CallerRequest {
             id: &id,
-            path: if idempotent { "/safe/7" } else { "/order/7" },
+            path: &path,
+            body: if idempotent {
+                CallerBody::None
+            } else {
+                draw_body(rng)
+            },
             affinity_key: rng.random_range(0..40),
             key: &key,
         };
--- a/crates/filbertgrade-standins/src/soak/plan.rs
+++ b/crates/filbertgrade-standins/src/soak/plan.rs
@@ -133,8 +133,12 @@
 
 /// Draws the kind and the target of one fault.
 fn draw(rng: &mut StdRng, vms: usize, endpoints: usize, domains: usize) -> Fault {
-    const BEHAVIORS: [EndpointBehavior; 8] = [
+    const BEHAVIORS: [EndpointBehavior; 12] = [
         EndpointBehavior::Refuses,
+        EndpointBehavior::RefusesEarly,
+        EndpointBehavior::RefusesTwice,
+        EndpointBehavior::RunsAndResponds(429),
+        EndpointBehavior::RunsAndResponds(503),
         EndpointBehavior::LosesAnswer,
         EndpointBehavior::Silent,
         EndpointBehavior::CrossesAnswers,
--- a/crates/filbertgrade-standins/src/soak/promises.rs
+++ b/crates/filbertgrade-standins/src/soak/promises.rs
@@ -25,6 +25,9 @@
 /// requests on top.
 const COLD_TOLERANCE: (f64, f64) = (1.5, 8.0);
 
+/// Time after the end of a process within which its callers notice that their connections ended.
+const STOP_MARGIN: Duration = Duration::from_millis(100);
+
 /// Smallest fraction of the idempotent requests that must succeed after the recovery deadline.
 const MIN_SERVED_FRACTION: f64 = 0.95;
 
@@ -41,7 +44,7 @@
     /// request.
     OwnAnswer,
     /// A request that was refused with a status that means "not run" (408, 421, 429 or 503) did not
-    /// run.
+    /// run, and does not run later.
     TrueRefusal,
     /// No team runs more requests than its limit in any window, apart from the tolerated excess.
     Rate,
@@ -56,13 +59,15 @@
     ColdRate,
     /// A process that receives SIGTERM exits with success and in time.
     GracefulStop,
+    /// A process that receives SIGTERM cuts no request that it has passed on.
+    AnsweredStop,
     /// Requests succeed again after the last fault.
     Recovery,
 }
 
 impl Promise {
     /// All promises, in the order of the printed report.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::AtMostOnce,
         Self::OwnAnswer,
         Self::TrueRefusal,
@@ -72,6 +77,7 @@
         Self::Leaving,
         Self::ColdRate,
         Self::GracefulStop,
+        Self::AnsweredStop,
         Self::Recovery,
     ];
 }
@@ -111,6 +117,8 @@
     pub key: String,
     /// When the caller sent the request.
     pub at: Instant,
+    /// Number of the VM that it was sent to.
+    pub vm: usize,
 }
 
 /// Outcome of a request as its caller saw it.
@@ -120,6 +128,21 @@
     pub status: u16,
     /// The response is complete, has the endpoint's seal and belongs to this request.
     pub is_valid: bool,
+    /// The connection ended before the end of the response.
+    pub is_cut: bool,
+    /// When the caller had the response, or gave up.
+    pub ended_at: Instant,
+}
+
+/// Planned stop of the process of a VM.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPeriod {
+    /// Number of the VM.
+    pub vm: usize,
+    /// When the process received SIGTERM.
+    pub from: Instant,
+    /// When the process ended; `None` while it runs.
+    pub until: Option<Instant>,
 }
 
 /// One run of a request at an endpoint.
@@ -168,6 +191,8 @@
     pub stale_periods: Vec<(Instant, Instant)>,
     /// Versions of the configuration that each process put in force, oldest first, by log file.
     pub versions: HashMap<String, Vec<u64>>,
+    /// Planned stops.
+    pub stops: Vec<StopPeriod>,
     /// Descriptions of processes that did not stop as promised.
     pub failed_stops: Vec<String>,
     /// Time from which requests must succeed again; `None` before it is known.
@@ -186,6 +211,7 @@
             self.check_leaving(),
             self.check_cold(),
             self.check_stops(),
+            self.check_answered_stops(),
             self.check_recovery(),
         ];
         checks.into_iter().flatten().collect()
@@ -309,6 +335,24 @@
         Some(violation(Promise::GracefulStop, detail.clone()))
     }
 
+    fn check_answered_stops(&self) -> Option<Violation> {
+        let run_ids: HashSet<&String> = self.runs.iter().map(|run| &run.id).collect();
+        let (id, vm) = self.outcomes.iter().find_map(|(id, outcome)| {
+            let vm = self.sent.get(id)?.vm;
+            let at = outcome.ended_at;
+            let in_stop = self.stops.iter().any(|stop| {
+                stop.vm == vm
+                    && stop.from <= at
+                    && stop.until.is_none_or(|until| at <= until + STOP_MARGIN)
+            });
+            (outcome.is_cut && in_stop && run_ids.contains(id)).then_some((id, vm))
+        })?;
+        Some(violation(
+            Promise::AnsweredStop,
+            format!("id={id} ran and was cut as vm-{vm} stopped"),
+        ))
+    }
+
     fn check_recovery(&self) -> Option<Violation> {
         let from = self.recovery_deadline?;
         let judged: Vec<&String> = self
--- a/crates/filbertgrade-standins/tests/soak.rs
+++ b/crates/filbertgrade-standins/tests/soak.rs
@@ -9,7 +9,8 @@
 
 use filbertgrade_standins::soak::Plan;
 use filbertgrade_standins::soak::promises::{
-    EndpointPeriod, History, Promise, RequestOutcome, RequestRun, SentRequest, TeamLimit,
+    EndpointPeriod, History, Promise, RequestOutcome, RequestRun, SentRequest, StopPeriod,
+    TeamLimit,
 };
 use rstest::rstest;
 
@@ -33,11 +34,14 @@
             team: "atelier",
             key: "key".into(),
             at,
+            vm: 0,
         };
         history.sent.insert(id.clone(), sent);
         let outcome = RequestOutcome {
             status: 200,
             is_valid: true,
+            is_cut: false,
+            ended_at: at + Duration::from_millis(20),
         };
         history.outcomes.insert(id.clone(), outcome);
         let endpoint = usize::try_from(number % 3).unwrap();
@@ -83,6 +87,15 @@
             }
         }
         Promise::GracefulStop => history.failed_stops.push("vm-1 runs".into()),
+        Promise::AnsweredStop => {
+            history.stops.push(StopPeriod {
+                vm: 0,
+                from: at(4),
+                until: Some(at(5)),
+            });
+            let outcome = history.outcomes.get_mut("q21").unwrap();
+            (outcome.status, outcome.is_cut) = (0, true);
+        }
         Promise::Recovery => {
             history.recovery_deadline = Some(at(1));
             for number in 20..40 {
@@ -100,7 +113,7 @@
 /// kept.
 #[rstest]
 fn each_check_finds_its_violation_and_no_other(
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9)] number: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] number: usize,
 ) {
     let promise = Promise::ALL[number];
     let start = Instant::now();
@@ -111,6 +124,18 @@
     assert_eq!(broken, [promise]);
 }
 
+/// Guards against a refused request whose run is overlooked because it started after the refusal.
+#[rstest]
+fn run_after_the_refusal_is_found(#[values(408, 421, 429, 503)] status: u16) {
+    let start = Instant::now();
+    let mut history = kept_history(start);
+    history.runs.retain(|run| run.id != "q9");
+    history.outcomes.get_mut("q9").unwrap().status = status;
+    assert_eq!(history.violations(), []);
+    record_run(&mut history, "q9", 0, start + Duration::from_secs(6));
+    assert_eq!(history.violations()[0].promise, Promise::TrueRefusal);
+}
+
 /// Guards against a violation that is reported although VMs could not learn of the drain, because
 /// the store was unavailable.
 #[test]
--- a/crates/filbertgrade/tests/soak.rs
+++ b/crates/filbertgrade/tests/soak.rs
@@ -9,14 +9,18 @@
 /// Guards against a broken promise to callers, backend servers or operators under overlapping
 /// faults, for example a non-idempotent request that runs twice.
 #[rstest]
-#[case::fresh(1)]
+#[case::fresh(1, 22, 4)]
+// An endpoint that ran a request and responded 503 or 429.
+#[case::unconfirmed_refusal(22, 30, 3)]
+// A stop with less time than the work that it had taken.
+#[case::short_stop(25, 30, 3)]
 #[tokio::test]
-async fn promises_are_kept(#[case] seed: u64) {
+async fn promises_are_kept(#[case] seed: u64, #[case] seconds: u64, #[case] vms: usize) {
     let logs = tempfile::tempdir().unwrap();
     let options = Options {
         seed,
-        length: Duration::from_secs(22),
-        vms: 4,
+        length: Duration::from_secs(seconds),
+        vms,
         node: env!("CARGO_BIN_EXE_filbertgrade").into(),
         logs: logs.path().to_owned(),
     };
