Read each part of a configuration apart from the others (node)

What callers saw: one team with an odd name, added in the version that takes a key away, cost every team its keys on every node until the next version; so did one odd route or service.

What can't be read costs itself and what rests on it: a team its own keys, a route and a service their own requests, which get 503 until the next version. A key that no readable team has gets 503 too while a team cannot be read, since it may be one of its keys. Keys are required although no team can be read. Log lines of teams have no values, which may be keys: a part whose api-keys were a text would have printed them.

--- a/crates/filbertgrade-coord/src/steering/deployment.rs
+++ b/crates/filbertgrade-coord/src/steering/deployment.rs
@@ -25,6 +25,38 @@
     pub keys: HashMap<ApiKey, Arc<Team>>,
     /// Limits on the size and duration of callers' requests.
     pub limits: Limits,
+    /// The parts of this version that could not be read.
+    pub unreadable: Unreadable,
+}
+
+/// Parts of a version that could not be read. Requests that may rest on them are
+/// refused until the next version, but not for good.
+#[derive(Clone, Debug, Default)]
+pub struct Unreadable {
+    /// Number of teams. A key that no other team has may be one of theirs.
+    pub teams: usize,
+    /// Number of services. A route may name one of them.
+    pub services: usize,
+    /// Routes.
+    pub routes: Vec<UnreadableRoute>,
+}
+
+/// What is known of a route that could not be read.
+#[derive(Clone, Debug)]
+pub struct UnreadableRoute {
+    /// Its name.
+    pub name: Option<RouteName>,
+    /// The requests that it is for.
+    pub place: Option<RoutePlace>,
+}
+
+/// Host and path prefix of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePlace {
+    /// Host in lower case, without a port.
+    pub host: Arc<str>,
+    /// Prefix of the path.
+    pub prefix: Arc<str>,
 }
 
 /// An API key that a caller sends to identify its team. `Debug` does not print
@@ -133,6 +165,61 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
 }
 
+impl Deployment {
+    /// Completes what is known of unreadable routes by those of the same names in an
+    /// older version.
+    pub fn locate_unreadable_routes(&mut self, older: &Self) {
+        for route in &mut self.unreadable.routes {
+            if route.place.is_none()
+                && let Some(name) = &route.name
+            {
+                route.place = older.place_of(name);
+            }
+        }
+    }
+
+    fn place_of(&self, name: &RouteName) -> Option<RoutePlace> {
+        let sound = self.routes.iter().find(|route| route.name == *name);
+        let unreadable = || {
+            let mut routes = self.unreadable.routes.iter();
+            routes.find(|route| route.name.as_ref() == Some(name))
+        };
+        match sound {
+            Some(route) => Some(RoutePlace {
+                host: Arc::clone(&route.host),
+                prefix: Arc::clone(&route.prefix),
+            }),
+            None => unreadable()?.place.clone(),
+        }
+    }
+
+    /// Whether an unreadable route may be the one for a request, in place of `found`,
+    /// the best one that could be read.
+    pub fn may_belong_to_unreadable_route(
+        &self,
+        host: &str,
+        path: &str,
+        found: Option<&Route>,
+    ) -> bool {
+        let host = without_port(host);
+        self.unreadable
+            .routes
+            .iter()
+            .any(|route| match &route.place {
+                Some(place) => {
+                    host.eq_ignore_ascii_case(&place.host)
+                        && path.starts_with(&*place.prefix)
+                        && found.is_none_or(|found| place.prefix.len() >= found.prefix.len())
+                }
+                None => found.is_none(),
+            })
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 impl RouteTable {
     /// Builds the table.
     pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
@@ -154,7 +241,7 @@
     ///
     /// The case of the host and a port after it are ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = without_port(host);
         let routes = match self.hosts.get(host) {
             Some(routes) => routes,
             None => self.hosts.get(host.to_ascii_lowercase().as_str())?,
--- a/crates/filbertgrade/src/process/node/routing.rs
+++ b/crates/filbertgrade/src/process/node/routing.rs
@@ -27,6 +27,10 @@
 /// as an outdated configuration. Another VM may be able to serve it.
 pub(super) const OTHER_VM_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Retry delay for a caller whose request may rest on a part of the configuration
+/// that no VM can read. The next version may come at any time.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// A request that has been routed and, unless its route is public, authenticated.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -146,6 +150,12 @@
     let has_object = split_hash.is_some();
     let split_hash = split_hash.unwrap_or_else(rand::random);
     let service = route.select_service(split_hash).service.clone();
+    if deployment.unreadable.services > 0 && !deployment.services.contains_key(&service) {
+        return Err(Refused::retry_later(
+            Cause::Isolated,
+            UNREADABLE_RETRY_DELAY,
+        ));
+    }
     let object = head.object.as_ref().map_or(split_hash, |object| {
         object_hash(service.as_str(), object.as_bytes())
     });
@@ -186,7 +196,15 @@
         .and_then(|host| host.to_str().ok())
         .or_else(|| parts.uri.host())
         .unwrap_or("");
-    match deployment.routes.find(host, parts.uri.path()) {
+    let path = parts.uri.path();
+    let found = deployment.routes.find(host, path);
+    if deployment.may_belong_to_unreadable_route(host, path, found.map(|route| &**route)) {
+        return Err(Refused::retry_later(
+            Cause::Isolated,
+            UNREADABLE_RETRY_DELAY,
+        ));
+    }
+    match found {
         Some(route) => Ok(Arc::clone(route)),
         None => Err(refuse_unknown(node, Cause::UnknownRoute, now)),
     }
@@ -202,7 +220,8 @@
     now: Instant,
 ) -> Result<Option<Arc<Team>>, Refused> {
     let team = head.key.as_ref().and_then(|key| deployment.keys.get(key));
-    if route.public || deployment.teams.is_empty() {
+    let has_teams = !deployment.teams.is_empty() || deployment.unreadable.teams > 0;
+    if route.public || !has_teams {
         return Ok(team.cloned());
     }
     if !node.has_current_configuration(now) {
@@ -210,6 +229,13 @@
     }
     match (team, &head.key) {
         (Some(team), _) => Ok(Some(Arc::clone(team))),
+        (None, Some(_)) if deployment.unreadable.teams > 0 => {
+            // It may be a key of a team that could not be read.
+            Err(Refused::retry_later(
+                Cause::Isolated,
+                UNREADABLE_RETRY_DELAY,
+            ))
+        }
         (None, Some(_)) => Err(refuse_unknown(node, Cause::KeyRefused, now)),
         (None, None) => Err(Refused::not_run(Cause::KeyMissing)),
     }
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -7,13 +7,14 @@
 use std::time::{Duration, Instant};
 
 use filbertgrade_coord::names::{FailureDomainName, RegionName, VmName};
-use filbertgrade_coord::steering::deployment::Deployment;
 use filbertgrade_coord::steering::endpoint::Endpoint;
 use filbertgrade_coord::steering::members::Member;
 use filbertgrade_coord::steering::quota::Limit;
 use filbertgrade_coord::steering::registry::{REREGISTRATION_GRACE, Registry, RegistryChange};
 use filbertgrade_coord::steering::store_revision::StoreRevision;
-use filbertgrade_platform::objects::{self, CONFIGURATION_NAME, Kind};
+use filbertgrade_platform::objects::{
+    self, CONFIGURATION_NAME, Kind, ReadConfiguration, UnreadablePart,
+};
 use filbertgrade_platform::store::{Event, Object};
 use indexmap::IndexMap;
 
@@ -23,6 +24,9 @@
 use crate::logfmt;
 use crate::sync::lock;
 
+/// Most parts of one version that are logged as left out.
+const MAX_LOGGED_PARTS: usize = 20;
+
 /// Applies the objects of one kind to the state of the node.
 trait Follower: Send + 'static {
     const KIND: Kind;
@@ -148,6 +152,19 @@
     );
 }
 
+/// Logs the parts of a version that are left out, up to [`MAX_LOGGED_PARTS`].
+fn log_unreadable_parts(version: u64, parts: &[UnreadablePart]) {
+    for part in parts.iter().take(MAX_LOGGED_PARTS) {
+        log::warn!(
+            "event=configuration_part_ignored version={version} part={} index={} name={} cause={}",
+            part.part.as_str(),
+            part.index,
+            logfmt::value(part.name.as_deref().unwrap_or("none")),
+            logfmt::value(&part.cause),
+        );
+    }
+}
+
 /// Puts newer versions of the configuration in force.
 #[derive(Default)]
 struct Configuration {
@@ -164,7 +181,7 @@
         let read = objects::configuration(&object.spec);
         self.newest_is_unreadable = read.is_err();
         match read {
-            Ok(deployment) => put_in_force(node, deployment, revision),
+            Ok(read) => put_in_force(node, read, revision),
             Err(error) => log_invalid_object(Kind::Configuration, &object.name, &error),
         }
     }
@@ -208,13 +225,21 @@
 
 /// Puts a configuration in force unless its version is not newer than the one
 /// in force.
-fn put_in_force(node: &Node, deployment: Deployment, revision: StoreRevision) {
+fn put_in_force(node: &Node, read: ReadConfiguration, revision: StoreRevision) {
+    let ReadConfiguration {
+        mut deployment,
+        unreadable,
+    } = read;
     let now = Instant::now();
     let old = node.deployment.load_full();
     let old_version = old.as_ref().map_or(0, |old| old.version);
     if old.is_some() && deployment.version <= old_version {
         return;
     }
+    log_unreadable_parts(deployment.version, &unreadable);
+    if let Some(old) = &old {
+        deployment.locate_unreadable_routes(old);
+    }
     let deployment = Arc::new(deployment);
     let limits = deployment.teams.values().map(|team| {
         let limit = Limit {
@@ -226,12 +251,14 @@
     lock(&node.quotas).set_limits(limits, now);
     lock(&node.balancer).set_deployment(Arc::clone(&deployment));
     log::info!(
-        "event=configuration_in_force version={} previous={old_version} revision={revision} routes={} teams={} keys={}",
+        "event=configuration_in_force version={} previous={old_version} revision={revision} routes={} teams={} keys={} ignored={}",
         deployment.version,
         deployment.routes.iter().count(),
         deployment.teams.len(),
         deployment.keys.len(),
+        unreadable.len(),
     );
+    metrics::gauge!("configuration_parts_ignored").set(unreadable.len() as f64);
     node.deployment.store(Some(deployment));
 }
 
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod fleet;
 mod notices;
+mod odd_parts;
 mod outage;
 mod permissions;
 mod requests;
--- /dev/null
+++ b/crates/filbertgrade/tests/node/odd_parts.rs
@@ -0,0 +1,161 @@
+//! Tests of versions of the configuration with parts that cannot be read.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::cluster::{KEY, Node, TestCluster, eventually};
+
+/// Time from the withdrawal of a key until it must be refused.
+const KEY_WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
+/// Adds a team with a key of its own, which a later version withdraws.
+fn add_second_team(spec: &mut Value, keys: &[&str]) {
+    let team = json!({"name": "school", "api-keys": keys, "rate-per-s": 500, "burst": 100});
+    spec["tenants"].as_array_mut().unwrap().push(team);
+}
+
+/// Guards against one odd team that costs all other teams their keys, and against a
+/// key that stays in use because its withdrawal comes with an odd team.
+#[rstest]
+#[case::white_space(json!({"name": "riding school", "api-keys": ["odd"]}))]
+#[case::line_break(json!({"name": "riding\nschool", "api-keys": ["odd"]}))]
+#[case::empty(json!({"name": "", "api-keys": ["odd"]}))]
+#[case::long(json!({"name": "x".repeat(400), "api-keys": ["odd"]}))]
+#[case::number(json!({"name": 42, "api-keys": ["odd"]}))]
+#[case::null(json!({"name": null, "api-keys": ["odd"]}))]
+#[case::no_object(json!("riding school"))]
+#[case::odd_rate(json!({"name": "riders", "api-keys": ["odd"], "rate-per-s": "many"}))]
+#[case::odd_keys(json!({"name": "riders", "api-keys": ["odd", 5]}))]
+#[tokio::test]
+async fn odd_team_costs_no_other_team_its_keys(#[case] odd: Value) {
+    let mut cluster = TestCluster::with_nodes(&[1], 2).await;
+    cluster.configure(|spec| add_second_team(spec, &["kept", "withdrawn"]));
+    for node in &cluster.nodes {
+        eventually("the new key is accepted", || async {
+            node.request("GET", "safe", "a1", Some("withdrawn"))
+                .await
+                .status
+                == 200
+        })
+        .await;
+    }
+    cluster.configure(|spec| {
+        add_second_team(spec, &["kept"]);
+        spec["tenants"].as_array_mut().unwrap().insert(0, odd);
+    });
+    let withdrawn_at = Instant::now();
+    for node in &cluster.nodes {
+        eventually("the key is refused", || async {
+            node.request("GET", "safe", "a2", Some("withdrawn"))
+                .await
+                .status
+                == 503
+        })
+        .await;
+    }
+    assert!(withdrawn_at.elapsed() < KEY_WITHDRAWAL_BOUND);
+    // Beyond the time for which an unconfirmed version would still be used.
+    while withdrawn_at.elapsed() < KEY_WITHDRAWAL_BOUND + Duration::from_secs(1) {
+        for key in [KEY, "kept"] {
+            for node in &cluster.nodes {
+                let response = node.request("GET", "safe", "a3", Some(key)).await;
+                assert_eq!(response.status, 200, "{key}: {response:?}\n{}", node.log());
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let ran = cluster.requests_run();
+    for key in ["withdrawn", "odd"] {
+        let response = cluster.nodes[0]
+            .request("GET", "safe", "a4", Some(key))
+            .await;
+        // The odd team may have it, so the caller may try again.
+        assert_eq!(response.status, 503);
+    }
+    assert_eq!(cluster.requests_run(), ran);
+    cluster.nodes[0]
+        .line_with(&["event=configuration_part_ignored", "part=team", "index=0"])
+        .await;
+    let restarted = Node::start("vm-9", cluster.store.address).await;
+    restarted.wait_ready().await;
+    for key in [KEY, "kept"] {
+        let response = restarted.request("GET", "safe", "a5", Some(key)).await;
+        assert_eq!(response.status, 200);
+    }
+}
+
+/// Guards against teams that cannot be read, all of them, and requests that then run
+/// without a key.
+#[tokio::test]
+async fn keys_are_required_although_no_team_can_be_read() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    cluster.configure(|spec| spec["tenants"] = json!([7]));
+    eventually("the key is refused", || async {
+        cluster.get("safe", "b1").await.status == 503
+    })
+    .await;
+    let ran = cluster.requests_run();
+    for key in [None, Some(KEY), Some("any")] {
+        let response = cluster.nodes[0].request("GET", "safe", "b2", key).await;
+        assert_ne!(response.status, 200);
+    }
+    assert_eq!(cluster.requests_run(), ran);
+    let response = cluster.nodes[0].request("GET", "open", "b3", None).await;
+    assert_eq!(response.status, 200);
+}
+
+/// Guards against one odd route that costs all others, and against requests on it
+/// that are refused for good, or run by the service of another route.
+#[rstest]
+#[case::place_is_known(json!({"name": "new", "hostname": "shop.example", "path-prefix": "/safe/7/", "route-type": "safe", "service": 5}))]
+#[case::name_is_known(json!({"name": "inner", "hostname": ["shop.example"], "path-prefix": "/safe/7/"}))]
+#[case::nothing_is_known(json!([]))]
+#[tokio::test]
+async fn odd_route_costs_only_its_own_requests(#[case] odd: Value) {
+    let mut cluster = TestCluster::start(&[1]).await;
+    // An earlier version has the route.
+    cluster.configure(|spec| {
+        let mut inner = spec["routes"][0].clone();
+        inner["name"] = "inner".into();
+        inner["path-prefix"] = "/safe/7/".into();
+        spec["routes"].as_array_mut().unwrap().push(inner);
+    });
+    let is_known = !odd.is_array();
+    cluster.configure(|spec| {
+        spec["routes"].as_array_mut().unwrap().insert(0, odd);
+    });
+    let version = format!("configuration_in_force version={} ", cluster.version());
+    cluster.nodes[0].line_with(&[&version]).await;
+    cluster.nodes[0]
+        .line_with(&["event=configuration_part_ignored", "part=route", "index=0"])
+        .await;
+    // Routes: /safe/ with the service, and the odd one below it.
+    assert_eq!(cluster.get("order", "c1").await.status, 200);
+    assert_eq!(cluster.get("safe", "c2").await.status, 200);
+    assert_eq!(
+        cluster.get("nowhere", "c3").await.status,
+        if is_known { 404 } else { 503 }
+    );
+    if is_known {
+        assert_eq!(cluster.get("safe/7", "c4").await.status, 503);
+    }
+}
+
+/// Guards against one odd service that costs the others, and against requests to a
+/// service whose limits are unknown.
+#[tokio::test]
+async fn odd_service_costs_only_the_routes_to_it() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    cluster.configure(|spec| {
+        let odd = json!({"name": "archive", "max-conns": -1});
+        spec["services"].as_array_mut().unwrap().insert(0, odd);
+        spec["routes"][1]["service"] = "archive".into();
+    });
+    eventually("the route to the odd service is refused", || async {
+        cluster.get("order", "d1").await.status == 503
+    })
+    .await;
+    assert_eq!(cluster.get("safe", "d2").await.status, 200);
+}
