End a process although nobody reads its log

What operators see: a process whose standard output is not read any more does not end after SIGTERM; the platform has to kill it.

Cause: the thread that writes the log is blocked and holds the lock of standard output, for which the flush before the end waits.

Evidence: stop_does_not_wait_for_a_log_reader_that_has_stopped.

The last lines are written by a thread of their own for 150 ms at most.

--- a/crates/filbertgrade/src/process/logs.rs
+++ b/crates/filbertgrade/src/process/logs.rs
@@ -20,6 +20,10 @@
 /// but loses more lines when the process is killed.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for writing the last lines. It lies within the margin that a
+/// planned stop leaves before the platform kills the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
 static BUFFER: OnceLock<Arc<Mutex<Buffer>>> = OnceLock::new();
 
 #[derive(Debug, Default)]
@@ -105,11 +109,19 @@
         .map_or(0.0, |time| time.as_secs_f64())
 }
 
-/// Writes the buffered lines; called before the process ends.
+/// Writes the buffered lines; called before the process ends. Gives up after
+/// [`FLUSH_TIMEOUT`], because standard output blocks while nobody reads it.
 pub fn flush() {
-    if let Some(buffer) = BUFFER.get() {
-        write_buffered(buffer);
-    }
+    let Some(buffer) = BUFFER.get().map(Arc::clone) else {
+        return;
+    };
+    let (written, is_written) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        write_buffered(&buffer);
+        // The receiver is gone if this took too long.
+        let _ = written.send(());
+    });
+    let _ = is_written.recv_timeout(FLUSH_TIMEOUT);
 }
 
 fn write_buffered(buffer: &Mutex<Buffer>) {
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -44,6 +45,8 @@
     child: Child,
     /// Log lines so far.
     lines: Arc<Mutex<Vec<String>>>,
+    /// Whether the log is still read.
+    log_is_read: Arc<AtomicBool>,
     /// Holds the settings file; deleted with the node.
     _settings_dir: TempDir,
 }
@@ -188,10 +191,16 @@
             .unwrap();
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
         let collected_lines = Arc::clone(&lines);
+        let log_is_read = Arc::new(AtomicBool::new(true));
+        let is_read = Arc::clone(&log_is_read);
         let mut stdout = BufReader::new(child.stdout.take().unwrap()).lines();
         tokio::spawn(async move {
             while let Ok(Some(line)) = stdout.next_line().await {
                 collected_lines.lock().unwrap().push(line);
+                if !is_read.load(Ordering::SeqCst) {
+                    // Keeps the pipe open.
+                    std::future::pending::<()>().await;
+                }
             }
         });
         Self {
@@ -201,6 +210,7 @@
             ready: address(ready),
             child,
             lines,
+            log_is_read,
             _settings_dir: dir,
         }
     }
@@ -305,6 +315,11 @@
         }
     }
 
+    /// Stops reading the log, but keeps its pipe open.
+    pub(crate) fn stop_reading_log(&self) {
+        self.log_is_read.store(false, Ordering::SeqCst);
+    }
+
     /// All log lines so far.
     pub(crate) fn log(&self) -> String {
         self.lines.lock().unwrap().join("\n")
--- a/crates/filbertgrade/tests/node/stop.rs
+++ b/crates/filbertgrade/tests/node/stop.rs
@@ -50,3 +50,26 @@
         .await;
     assert_eq!(cluster.get("safe", "b1").await.status, 200);
 }
+
+/// Guards against a process that does not end because nobody reads its log any
+/// more, so that the platform has to kill it.
+#[tokio::test]
+async fn stop_does_not_wait_for_a_log_reader_that_has_stopped() {
+    let mut cluster = TestCluster::start(&[0]).await;
+    cluster.nodes[0].stop_reading_log();
+    // More lines than the pipe holds.
+    for n in 0..15 {
+        let ids: Vec<String> = (0..20).map(|m| format!("l{n}-{m}")).collect();
+        let requests = ids.iter().map(|id| cluster.get("safe", id));
+        // Refused or not, each of them is logged.
+        futures::future::join_all(requests).await;
+    }
+    // The thread that writes the log blocks.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.nodes[0].signal(rustix::process::Signal::TERM);
+    let ended = cluster.nodes[0].wait_for_exit();
+    assert_eq!(
+        tokio::time::timeout(Duration::from_secs(6), ended).await,
+        Ok(true)
+    );
+}
