--- a/crates/filbertgrade/src/process/logs.rs
+++ b/crates/filbertgrade/src/process/logs.rs
@@ -110,7 +110,7 @@
 }
 
 /// Writes the buffered lines; called before the process ends. Gives up after
-/// [`FLUSH_TIMEOUT`], because standard output blocks while nobody reads it.
+/// 150 ms, because standard output blocks while nobody reads it.
 pub fn flush() {
     let Some(buffer) = BUFFER.get().map(Arc::clone) else {
         return;
