--- a/crates/filbertgrade-standins/src/soak/inject.rs
+++ b/crates/filbertgrade-standins/src/soak/inject.rs
@@ -236,7 +236,7 @@
     state.register(endpoint, "ready", COLD_DURATION);
 }
 
-/// Lets an endpoint announce its end for `length`, and registers it as one that has started anew.
+/// Lets an endpoint announce its end for `length`, and registers it as one that has started again.
 async fn announce_end(state: &RunState, endpoint: usize, length: Duration) {
     state.endpoints[endpoint].set_leaving(true);
     lock(&state.history).announced_ends.push(EndpointPeriod {
--- a/crates/filbertgrade-standins/src/soak/mod.rs
+++ b/crates/filbertgrade-standins/src/soak/mod.rs
@@ -318,16 +318,14 @@
         if rng.random_bool(RECONNECT_PROBABILITY) {
             open_connection = None;
         }
-        let (vm, connection) = match open_connection.take() {
-            Some(open) => open,
-            None if keeps_vm && last_vm.is_some() => {
-                let vm = last_vm.take().unwrap_or_default();
-                match Connection::open(caller_addresses[vm]).await {
-                    Ok(connection) => (vm, connection),
-                    Err(_) => continue,
-                }
-            }
-            None => {
+        let kept_vm = last_vm.take().filter(|_| keeps_vm);
+        let (vm, connection) = match (open_connection.take(), kept_vm) {
+            (Some(open), _) => open,
+            (None, Some(vm)) => match Connection::open(caller_addresses[vm]).await {
+                Ok(connection) => (vm, connection),
+                Err(_) => continue,
+            },
+            (None, None) => {
                 let lookup_address = lookup_addresses[rng.random_range(0..lookup_addresses.len())];
                 let addresses = client::look_up(lookup_address, region)
                     .await
--- a/crates/filbertgrade-standins/src/soak/promises.rs
+++ b/crates/filbertgrade-standins/src/soak/promises.rs
@@ -383,7 +383,7 @@
                     .filter(|run| run.endpoint == period.endpoint)
             };
             // When each VM first passed on the announcement.
-            let mut told: HashMap<usize, Instant> = HashMap::new();
+            let mut announced: HashMap<usize, Instant> = HashMap::new();
             for run in of_endpoint() {
                 let (Some(sent), Some(outcome)) =
                     (self.sent.get(&run.id), self.outcomes.get(&run.id))
@@ -391,13 +391,13 @@
                     continue;
                 };
                 if outcome.announces_end && outcome.is_valid && is_within(run.at) {
-                    let at = told.entry(sent.vm).or_insert(outcome.ended_at);
+                    let at = announced.entry(sent.vm).or_insert(outcome.ended_at);
                     *at = (*at).min(outcome.ended_at);
                 }
             }
             let late = of_endpoint().find(|run| {
                 self.sent.get(&run.id).is_some_and(|sent| {
-                    told.get(&sent.vm).is_some_and(|at| {
+                    announced.get(&sent.vm).is_some_and(|at| {
                         sent.at > *at + ANNOUNCED_END_LIMIT
                             && is_within(run.at)
                             && !self.is_disturbed(sent.vm, *at, run.at)
--- a/crates/filbertgrade/src/request/headers.rs
+++ b/crates/filbertgrade/src/request/headers.rs
@@ -73,7 +73,7 @@
 
 /// Turns a backend server's headers into those sent to a caller. Removes
 /// hop-by-hop headers, and those by which the system marks its own refusals: a
-/// backend server that sets them could not be told from a refusal.
+/// refusal could not be distinguished from a response that has them.
 pub fn prepare_response(headers: &mut HeaderMap) {
     remove_hop_by_hop(headers);
     let own: Vec<HeaderName> = headers
