Log how each attempt used its connection, and tell foreign responses apart

A refusal as not run is true only if each attempt sent nothing or was refused by its endpoint, and the log could not show either: event=attempt said neither whether the connection was used before nor how much was sent on it, and a response to another request had the same result, malformed_answer, as one without a seal.

event=attempt has connection=new|reused|none and sent_bytes now, and a response of another request is foreign_answer (Failure::ForeignResponse, in the node and in the entry). No decision changes: the two failures are treated alike. The property tests of the decision cover the new failure, and UnconfirmedRefusal, which they lacked.

--- a/crates/filbertgrade/src/connection/backend.rs
+++ b/crates/filbertgrade/src/connection/backend.rs
@@ -217,8 +217,8 @@
     /// # Errors
     ///
     /// Fails when the connection ends first, or more arrives than the head of a
-    /// response can have. [`Connection::close`] then returns whether any byte of
-    /// the request was sent.
+    /// response can have. [`Connection::close`] then returns how many bytes of
+    /// the request were sent.
     pub async fn send(
         &mut self,
         req: Request<RequestBody>,
@@ -229,10 +229,10 @@
         Ok(response)
     }
 
-    /// Whether at least one byte of the request has been sent so far.
+    /// Number of bytes of the request that have been sent so far.
     #[must_use]
-    pub fn has_sent_bytes(&self) -> bool {
-        self.count.sent() > self.state.sent_before
+    pub fn sent_bytes(&self) -> u64 {
+        self.count.sent() - self.state.sent_before
     }
 
     /// Whether the connection had served another request before.
@@ -251,12 +251,12 @@
         })
     }
 
-    /// Closes the connection, and returns whether any byte of the request was
+    /// Closes the connection, and returns how many bytes of the request were
     /// sent.
-    pub async fn close(mut self) -> bool {
+    pub async fn close(mut self) -> u64 {
         // Bytes may still be sent until the task has released the socket.
         self.driver.stop().await;
-        self.has_sent_bytes()
+        self.sent_bytes()
     }
 }
 
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -387,7 +387,7 @@
                 entry.pool.close_idle(endpoint);
             }
             let sent = SentProgress {
-                bytes_sent: connection.close().await,
+                bytes_sent: connection.close().await > 0,
                 body_sent: &body_sent,
             };
             let failure = call.upload.error().map_or(failure, upload_failure);
@@ -396,7 +396,7 @@
         }
     };
     let sent = SentProgress {
-        bytes_sent: connection.has_sent_bytes(),
+        bytes_sent: connection.sent_bytes() > 0,
         body_sent: &body_sent,
     };
     let state = match attempt.observe(&sent).response_started() {
@@ -406,7 +406,7 @@
     let echo = id.echo_in(&response);
     if echo == Echo::Other || (echo == Echo::Missing && connection.is_reused()) {
         log::warn!("event=foreign_response backend={endpoint}");
-        let failure = Failure::MalformedResponse;
+        let failure = Failure::ForeignResponse;
         return Err(FailedAttempt { failure, state });
     }
     let is_reusable = echo == Echo::Own;
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -36,9 +36,20 @@
     target: Target,
     object: u64,
     started: Instant,
+    /// Connection of the attempt; `None` until it has one.
+    connection: Option<ConnectionUse>,
     ended: bool,
 }
 
+/// How an attempt used its connection, for the log.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionUse {
+    /// The connection had served another request before.
+    reused: bool,
+    /// Bytes of the request that were sent on it.
+    sent_bytes: u64,
+}
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -67,6 +78,7 @@
             target,
             object,
             started: Instant::now(),
+            connection: None,
             ended: false,
         }
     }
@@ -163,11 +175,16 @@
     req: Request<RequestBody>,
 ) -> AttemptResult {
     let reused = connection.is_reused();
+    let mut record_use =
+        |sent_bytes| attempt.connection = Some(ConnectionUse { reused, sent_bytes });
+    record_use(0);
     let sent = tokio::time::timeout_at(call.deadline.into(), connection.send(req)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            let state = close(connection).await;
+            let sent_bytes = connection.close().await;
+            record_use(sent_bytes);
+            let state = state_after(sent_bytes);
             log::debug!(
                 "event=exchange_failed id={} error={}",
                 call.id(),
@@ -181,10 +198,13 @@
             );
         }
         Err(_) => {
-            let state = close(connection).await;
+            let sent_bytes = connection.close().await;
+            record_use(sent_bytes);
+            let state = state_after(sent_bytes);
             return no_response(&mut attempt, call, Failure::DeadlinePassed, state);
         }
     };
+    record_use(connection.sent_bytes());
     let (parts, body) = response.into_parts();
     let head = ResponseHead::read(parts.status, &parts.headers);
     if let Some(failure) = response_failure(&head, parts.status, call, reused) {
@@ -209,10 +229,10 @@
     finish(attempt, call, connection, &head, buffered, idle_limit)
 }
 
-/// Closes the connection, and returns how much of the request may have arrived
-/// at the endpoint. A partly sent request is treated as a fully sent one.
-async fn close(connection: Connection<Busy>) -> AttemptState {
-    if connection.close().await {
+/// How much of a request may have arrived at the endpoint. A partly sent request is
+/// treated as a fully sent one.
+fn state_after(sent_bytes: u64) -> AttemptState {
+    if sent_bytes > 0 {
         AttemptState::FullySent
     } else {
         AttemptState::NotSent
@@ -304,14 +324,22 @@
 
     fn log(&self, call: &Call, result: &str, status: Option<StatusCode>) {
         let target = &self.target;
+        let connection = match self.connection {
+            None => "none",
+            Some(ConnectionUse { reused: false, .. }) => "new",
+            Some(ConnectionUse { reused: true, .. }) => "reused",
+        };
         log::info!(
-            "event=attempt id={} endpoint={} address={} region={} result={result} status={} ms={} \
+            "event=attempt id={} endpoint={} address={} region={} result={result} status={} \
+             connection={connection} sent_bytes={} ms={} \
              expected_ms={} load={:.1} slots={} load_age_ms={} repeat={}",
             call.id(),
             logfmt::value(&target.key),
             target.address,
             target.region,
             status.map_or(0, |s| s.as_u16()),
+            self.connection
+                .map_or(0, |connection| connection.sent_bytes),
             self.latency().as_millis(),
             target.expected_latency.as_millis(),
             target.load,
@@ -390,6 +418,7 @@
         Failure::Draining => "draining",
         Failure::Misdirected => "other_endpoint",
         Failure::MalformedResponse => "malformed_answer",
+        Failure::ForeignResponse => "foreign_answer",
         Failure::UnconfirmedRefusal => "unconfirmed_refusal",
         Failure::CallerSlow => "caller_slow",
         Failure::CallerGone => "caller_gone",
@@ -414,8 +443,11 @@
         (None, Some(_)) => head.kind != ResponseKind::Run && !reused,
         (_, None) => true,
     };
+    if !id_matches {
+        return Some(Failure::ForeignResponse);
+    }
     let seal_missing = status.is_success() && !head.has_seal;
-    (!id_matches || seal_missing).then_some(Failure::MalformedResponse)
+    seal_missing.then_some(Failure::MalformedResponse)
 }
 
 async fn buffer_response(
--- a/crates/filbertgrade/src/request/decision.rs
+++ b/crates/filbertgrade/src/request/decision.rs
@@ -32,6 +32,8 @@
     /// The backend server's response is malformed, or its end cannot be
     /// determined.
     MalformedResponse,
+    /// The response belongs to another request, or that cannot be excluded.
+    ForeignResponse,
     /// The backend server responded with a status that promises callers that the
     /// request did not run, and did not confirm this.
     UnconfirmedRefusal,
@@ -94,7 +96,10 @@
     let explicit = failure.is_explicit_refusal();
     if context.state == AttemptState::ResponseStarted
         && !explicit
-        && failure != Failure::MalformedResponse
+        && !matches!(
+            failure,
+            Failure::MalformedResponse | Failure::ForeignResponse
+        )
     {
         return NextStep::AbortResponse;
     }
@@ -159,6 +164,7 @@
             Self::NoConnection
             | Self::ConnectionLost { .. }
             | Self::MalformedResponse
+            | Self::ForeignResponse
             | Self::UnconfirmedRefusal
             | Self::ResponseTruncated => Cause::BackendFailed,
             Self::ConnectionTimedOut | Self::DeadlinePassed => Cause::BackendSilent,
--- a/crates/filbertgrade/tests/path/decisions.rs
+++ b/crates/filbertgrade/tests/path/decisions.rs
@@ -22,6 +22,8 @@
         Failure::Draining,
         Failure::Misdirected,
         Failure::MalformedResponse,
+        Failure::ForeignResponse,
+        Failure::UnconfirmedRefusal,
         Failure::CallerSlow,
         Failure::CallerGone,
         Failure::ResponseTruncated,
