Add failing tests of two registrations that name one address

An endpoint has crashed and come back under another id, and its older registration is still in force. And one response 421 excludes a sound endpoint for good (no request within 10 s).

--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -19,6 +19,7 @@
 mod requests;
 mod restart;
 mod restored;
+mod same_address;
 mod silence;
 mod stop;
 mod stop_under_load;
