Send no two attempts with the same id on one connection

What callers saw: an order ran once and got 503, which promises that it has not run (REFUSED).

Cause: a response is matched by the id of the request, which all attempts of a request share. A second attempt goes to another registration, but two registrations can name one address (an endpoint that crashed and came back under another id, while the older registration has not run out), and the pool groups connections by address. So the second attempt was sent on the connection that the first one had just put back, and a second copy of the first refusal was taken for its response. The class: a message is accepted by an id that does not identify what it answers.

A connection now remembers the ids that it has carried, and a request with one of them gets another connection. A request without an id gets a new one, since nothing tells its response apart.

Ruled out: entry and agent had an id of each attempt already; token requests and calls on peer links have ids of their own, from a random start or for one connection. The pool is shared, so the entry has the rule as well.

--- a/crates/filbertgrade/src/connection/backend.rs
+++ b/crates/filbertgrade/src/connection/backend.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 
 use super::counting::{ByteCount, CountingIo};
+use super::response_id::{CarriedIds, ResponseId};
 
 /// Default time for which a whole response verifies that a connection works.
 /// After that, non-idempotent requests are not sent on the connection.
@@ -73,6 +74,15 @@
     reused: bool,
 }
 
+/// Result of [`Connection::verify`].
+#[derive(Debug)]
+pub enum Verification {
+    /// The last response on the connection is recent enough.
+    Verified(Connection<Verified>),
+    /// It is not; the connection is unchanged.
+    TooOld(Connection<Idle>),
+}
+
 /// A connection in state `S`. Dropping it closes it, in every state, so that
 /// a late response cannot be taken for that of another request.
 #[derive(Debug)]
@@ -81,6 +91,8 @@
     sender: SendRequest<RequestBody>,
     driver: Driver,
     count: ByteCount,
+    /// Ids of the requests so far, including the running one.
+    carried: CarriedIds,
     state: S,
 }
 
@@ -120,6 +132,7 @@
             sender,
             driver,
             count,
+            carried: CarriedIds::default(),
             state: Verified {
                 at: Instant::now(),
                 reused: false,
@@ -129,7 +142,8 @@
 
     /// Starts a request, which need not be idempotent.
     #[must_use]
-    pub fn start(self) -> Connection<Busy> {
+    pub fn start(mut self, id: Option<ResponseId>) -> Connection<Busy> {
+        self.carried.add(id);
         let state = Busy {
             sent_before: self.count.sent(),
             reused: self.state.reused,
@@ -149,29 +163,23 @@
 }
 
 impl Connection<Idle> {
-    /// Returns the connection as verified, if its last response is at most
-    /// `max_verified_age` old.
-    ///
-    /// # Errors
-    ///
-    /// Returns the connection unchanged when its last response is older.
-    pub fn into_verified(
-        self,
-        now: Instant,
-        max_verified_age: Duration,
-    ) -> Result<Connection<Verified>, Self> {
+    /// Verifies the connection if its last response is at most `max_verified_age`
+    /// old.
+    #[must_use]
+    pub fn verify(self, now: Instant, max_verified_age: Duration) -> Verification {
         let at = self.state.verified_at;
         if now.saturating_duration_since(at) <= max_verified_age {
-            Ok(self.with(Verified { at, reused: true }))
+            Verification::Verified(self.with(Verified { at, reused: true }))
         } else {
-            Err(self)
+            Verification::TooOld(self)
         }
     }
 
     /// Starts a request that may be sent again if the connection turns out to
     /// be dead.
     #[must_use]
-    pub fn start_idempotent(self) -> Connection<Busy> {
+    pub fn start_idempotent(mut self, id: Option<ResponseId>) -> Connection<Busy> {
+        self.carried.add(id);
         let state = Busy {
             sent_before: self.count.sent(),
             reused: true,
@@ -186,6 +194,13 @@
         matches!(ready.await, Ok(Ok(())))
     }
 
+    /// Whether the response to a request with this id can be told from late copies of
+    /// the responses to all earlier ones.
+    #[must_use]
+    pub fn can_tell(&self, id: Option<ResponseId>) -> bool {
+        self.carried.can_tell(id)
+    }
+
     /// Time since the connection was opened or delivered its last response.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
@@ -261,6 +276,12 @@
 }
 
 impl<S> Connection<S> {
+    /// Whether the connection must not carry another request.
+    #[must_use]
+    pub fn is_used_up(&self) -> bool {
+        self.carried.is_full()
+    }
+
     /// Address of the backend server.
     #[must_use]
     pub fn endpoint(&self) -> SocketAddr {
@@ -273,6 +294,7 @@
             sender: self.sender,
             driver: self.driver,
             count: self.count,
+            carried: self.carried,
             state,
         }
     }
--- a/crates/filbertgrade/src/connection/pool.rs
+++ b/crates/filbertgrade/src/connection/pool.rs
@@ -7,7 +7,8 @@
 
 use tokio::sync::Notify;
 
-use super::backend::{Busy, Connection, Idle, MAX_VERIFIED_AGE, Verified};
+use super::backend::{Busy, Connection, Idle, MAX_VERIFIED_AGE, Verification, Verified};
+use super::response_id::ResponseId;
 use crate::sync::lock;
 
 /// Default time for which a connection may stay idle. Backend servers close
@@ -69,6 +70,9 @@
     pub limit: usize,
     /// The request may be sent again if the connection turns out to be dead.
     pub idempotent: bool,
+    /// Id that the backend server repeats in its response. The connection has carried
+    /// no other request with it. `None` if it repeats none: the connection is new.
+    pub response_id: Option<ResponseId>,
     /// Time until which the request waits for a connection.
     pub deadline: Instant,
 }
@@ -151,7 +155,10 @@
                         return Ok(connection);
                     }
                 }
-                CheckoutStep::Open(guard) => return Ok(self.open(params, guard).await?.start()),
+                CheckoutStep::Open(guard) => {
+                    let connection = self.open(params, guard).await?;
+                    return Ok(connection.start(params.response_id));
+                }
                 CheckoutStep::Close(connection) => {
                     connection.close().await;
                 }
@@ -166,7 +173,7 @@
     }
 
     /// Returns a connection to the pool after it has delivered a whole
-    /// response.
+    /// response. One that has carried as many requests as it may is closed.
     pub fn put_back(&self, connection: Connection<Verified>) {
         self.put_back_with_idle_limit(connection, self.limits.idle_limit);
     }
@@ -175,6 +182,9 @@
     /// be shorter than the time for which the backend server keeps the
     /// connection open.
     pub fn put_back_with_idle_limit(&self, connection: Connection<Verified>, idle_limit: Duration) {
+        if connection.is_used_up() {
+            return;
+        }
         let endpoint = connection.endpoint();
         self.lock()
             .entry(endpoint)
@@ -259,10 +269,12 @@
         if !connection.is_ready().await {
             return None;
         }
-        match connection.into_verified(Instant::now(), self.limits.max_verified_age) {
-            Ok(connection) => Some(connection.start()),
-            Err(connection) if params.idempotent => Some(connection.start_idempotent()),
-            Err(_) => None,
+        match connection.verify(Instant::now(), self.limits.max_verified_age) {
+            Verification::Verified(connection) => Some(connection.start(params.response_id)),
+            Verification::TooOld(connection) if params.idempotent => {
+                Some(connection.start_idempotent(params.response_id))
+            }
+            Verification::TooOld(_) => None,
         }
     }
 
@@ -280,9 +292,11 @@
         max_verified_age: Duration,
         now: Instant,
     ) -> Option<Connection<Idle>> {
-        let newest = self.idle.last()?;
-        let usable = params.idempotent || newest.age(now) <= max_verified_age;
-        if usable { self.idle.pop() } else { None }
+        let usable = self.idle.iter().rposition(|connection| {
+            (params.idempotent || connection.age(now) <= max_verified_age)
+                && connection.can_tell(params.response_id)
+        })?;
+        Some(self.idle.remove(usable))
     }
 
     /// Takes the idle connections that were closed or have exceeded their idle
--- a/crates/filbertgrade/src/process/entry/forward.rs
+++ b/crates/filbertgrade/src/process/entry/forward.rs
@@ -353,10 +353,12 @@
     claim: Option<&mut Claim>,
 ) -> Result<Response<Body>, FailedAttempt> {
     let endpoint = slot.endpoint();
+    let id = AttemptId::random();
     let params = CheckoutParams {
         endpoint,
         limit: connection_limit(view, &call.service),
         idempotent: call.idempotent,
+        response_id: Some(id.0.as_bytes().into()),
         deadline: call.deadline,
     };
     let attempt = Attempt::start();
@@ -370,7 +372,6 @@
         }
     };
     let (body, body_sent) = call.upload.body();
-    let id = AttemptId::random();
     let Some(req) = build_request(call, endpoint, &id, body) else {
         return Err(not_sent(Failure::DeadlinePassed));
     };
--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -134,6 +134,7 @@
         endpoint: attempt.target.address,
         limit: connection_limit(node, call),
         idempotent: call.route.kind.is_idempotent(),
+        response_id: call.head.id.as_ref().map(|id| id.as_bytes().into()),
         deadline: call.deadline,
     };
     let connection = match node.pool.checkout(&params).await {
@@ -426,11 +427,12 @@
     }
 }
 
-/// Checks that a response belongs to this request and, if it is a success, has
+/// Checks that a response belongs to this attempt and, if it is a success, has
 /// the seal of a backend server. Returns the failure if it does not.
 ///
-/// On a connection that was used before, a refusal without the id of the request
-/// may be the late second copy of one to an earlier request. Taken for this
+/// The id is that of the request. It identifies the attempt too, because a connection
+/// carries no two attempts with the same id. On a connection that was used before, a
+/// refusal without the id may be the late second copy of one to an earlier request. Taken for this
 /// request, it would let an order run at a second endpoint.
 fn response_failure(
     head: &ResponseHead,
--- a/crates/filbertgrade/tests/node/same_address.rs
+++ b/crates/filbertgrade/tests/node/same_address.rs
@@ -127,9 +127,12 @@
 }
 
 /// Starts a node that knows both registrations of the process and no other one.
-async fn cluster_with(endpoint: &Restarted) -> TestCluster {
+async fn cluster_with(endpoint: &Restarted, max_connections: usize) -> TestCluster {
     let mut cluster = TestCluster::start(&[]).await;
-    cluster.configure(|spec| spec["tenants"][0]["rate-per-s"] = json!(0));
+    cluster.configure(|spec| {
+        spec["tenants"][0]["rate-per-s"] = json!(0);
+        spec["services"][0]["max-conns"] = json!(max_connections);
+    });
     for (id, born) in [(OLD_ID, 5), (NEW_ID, 9)] {
         let spec = json!({"service": "charts", "address": endpoint.address.to_string(), "zone": "north-a",
                           "version": "v1", "slots": 30, "state": "ready", "cold-remaining-s": 0, "seq-no": 1, "born": born});
@@ -159,9 +162,11 @@
     #[values(Refusal::Misdirected, Refusal::MisdirectedAndConfirmed, Refusal::Busy)]
     refusal: Refusal,
     #[values(1, 5, 30)] copy_delay_ms: u64,
+    // One connection is the share of a VM among hundreds.
+    #[values(100, 1)] max_connections: usize,
 ) {
     let endpoint = Restarted::start(refusal, Duration::from_millis(copy_delay_ms)).await;
-    let cluster = cluster_with(&endpoint).await;
+    let cluster = cluster_with(&endpoint, max_connections).await;
     let started_at = Instant::now();
     let mut sent = 0;
     // Until some orders were tried at the older registration first. One that answers
@@ -200,7 +205,7 @@
 #[tokio::test]
 async fn registration_whose_address_another_endpoint_has_gets_few_requests() {
     let endpoint = Restarted::start(Refusal::Misdirected, Duration::from_secs(60)).await;
-    let cluster = cluster_with(&endpoint).await;
+    let cluster = cluster_with(&endpoint, 100).await;
     let started_at = Instant::now();
     let mut sent = 0;
     while started_at.elapsed() < Duration::from_secs(4) {
--- a/crates/filbertgrade/tests/path/pool.rs
+++ b/crates/filbertgrade/tests/path/pool.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbertgrade::connection::{CheckoutParams, Pool};
+use filbertgrade::connection::{CheckoutParams, Pool, ResponseId};
 use http::Request;
 use http_body_util::{BodyExt, Empty};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -48,11 +48,15 @@
     (address, count)
 }
 
+/// Parameters of a request with an id of its own.
 fn params(endpoint: SocketAddr, limit: usize, idempotent: bool) -> CheckoutParams {
+    static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
+    let id = NEXT_ID.fetch_add(1, Ordering::SeqCst).to_string();
     CheckoutParams {
         endpoint,
         limit,
         idempotent,
+        response_id: Some(id.as_bytes().into()),
         deadline: Instant::now() + Duration::from_secs(10),
     }
 }
@@ -130,3 +134,36 @@
             .is_reused()
     );
 }
+
+/// Guards against a late copy of a response that is taken for the response to another
+/// request with the same id, or without one.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_carries_no_two_requests_that_cannot_be_told_apart() {
+    let (address, count) = counting_server().await;
+    let pool = Pool::new(LOCAL);
+    let with_id = |id: Option<&str>| CheckoutParams {
+        response_id: id.map(|id| ResponseId::from(id.as_bytes())),
+        ..params(address, 10, true)
+    };
+    for id in [Some("a"), Some("b"), Some("c"), Some("a"), Some("b"), None] {
+        run_request(&pool, &with_id(id), false).await;
+    }
+    // The second "a" opened another connection, which "b" used as well.
+    assert_eq!(count.peak.load(Ordering::SeqCst), 3);
+    let connection = pool.checkout(&with_id(Some("d"))).await.unwrap();
+    assert!(connection.is_reused());
+    let connection = pool.checkout(&with_id(None)).await.unwrap();
+    assert!(!connection.is_reused());
+}
+
+/// Guards against a connection that remembers ids without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_is_replaced_after_a_thousand_requests() {
+    let (address, _) = counting_server().await;
+    let pool = Pool::new(LOCAL);
+    for _ in 0..1_000 {
+        run_request(&pool, &params(address, 1, true), false).await;
+    }
+    let connection = pool.checkout(&params(address, 1, true)).await.unwrap();
+    assert!(!connection.is_reused());
+}
