Let an endpoint return after a response of another one at its address

What callers saw: after one response 421 in the name of a sound endpoint, this VM sent it nothing any more until its address changed; with no other endpoint all orders were refused.

Cause: Outcome::Misdirected set a flag that only a change of the address cleared. The class: one message excludes an endpoint without end.

It is an ejection now: nothing for 1 s, then one probe request at a time, a backoff that doubles up to 16 s, and its end with a response of the endpoint itself. The backoff is longer than that of an unreachable endpoint, because another process really has the address most of the time. The dump of a node shows it as displaced. The two ejections share their arithmetic.

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -31,11 +31,14 @@
 /// Range to which an endpoint's slowness is limited.
 const SLOWNESS_RANGE: std::ops::RangeInclusive<f64> = 0.7..=30.0;
 
-/// Backoff after the first failed connection to an endpoint.
-const FIRST_BACKOFF: Duration = Duration::from_millis(250);
+/// Backoff after the first failed connection to an endpoint, and the limit up to
+/// which it doubles with each failed probe.
+const UNREACHABLE_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_secs(2));
 
-/// Limit up to which the backoff doubles with each failed probe.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// The same after a response of another endpoint. That is rarely an error, so it
+/// costs few requests to find out that it was one.
+const DISPLACED_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(16));
 
 /// Requests for each slot that an endpoint is assumed to hold, running and
 /// queued, until it refuses one.
@@ -64,9 +67,11 @@
     /// `decayed_at`.
     pub(super) slowness: f64,
     pub(super) decayed_at: Instant,
+    /// Set while the endpoint cannot be reached.
     pub(super) ejection: Option<Ejection>,
-    /// Another endpoint has responded at its address.
-    pub(super) misdirected: bool,
+    /// Set while another endpoint responds at its address. Ends with a response of
+    /// the endpoint itself, so that a false one does not exclude it for good.
+    pub(super) displaced: Option<Ejection>,
     pub(super) cold_until: Option<Instant>,
     /// Limits the requests of this VM while the endpoint is cold; `None` while it
     /// is warm.
@@ -78,8 +83,8 @@
     pub(super) return_window: Option<u32>,
 }
 
-/// The ejection of an endpoint that could not be reached. It receives nothing
-/// until the backoff has passed, and then one probe request at a time.
+/// The ejection of an endpoint. It receives nothing until the backoff has passed,
+/// and then one probe request at a time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ejection {
     pub(super) until: Instant,
@@ -88,6 +93,28 @@
     pub(super) probing: bool,
 }
 
+impl Ejection {
+    /// Returns the ejection after another failure. Its backoff doubles only when a
+    /// probe has failed: requests that were in flight together fail together.
+    fn after(previous: Option<Self>, (first, longest): (Duration, Duration), now: Instant) -> Self {
+        let backoff = match previous {
+            Some(ejection) if !ejection.probing => ejection.backoff,
+            Some(ejection) => (ejection.backoff * 2).min(longest),
+            None => first,
+        };
+        Self {
+            until: now + backoff,
+            backoff,
+            probing: false,
+        }
+    }
+
+    /// Whether a probe request may be sent.
+    fn permits_probe(&self, now: Instant) -> bool {
+        !self.probing && now >= self.until
+    }
+}
+
 impl EndpointState {
     pub(super) fn new(endpoint: &Endpoint, region: RegionName, now: Instant) -> Self {
         Self {
@@ -103,7 +130,7 @@
             slowness: 1.0,
             decayed_at: now,
             ejection: None,
-            misdirected: false,
+            displaced: None,
             cold_until: None,
             cold_limit: None,
             limit: None,
@@ -147,6 +174,13 @@
         f64::from(self.in_flight) + (self.other_load_mean + recent).max(0.0)
     }
 
+    /// Reports whether another endpoint has its address, as far as is known, so that
+    /// no request may be sent now.
+    pub(super) fn is_displaced(&self, now: Instant) -> bool {
+        self.displaced
+            .is_some_and(|ejection| !ejection.permits_probe(now))
+    }
+
     pub(super) fn is_limited(&self) -> bool {
         self.limit.as_ref().is_some_and(EndpointLimit::is_limited)
     }
@@ -162,7 +196,7 @@
         }
         if self
             .ejection
-            .is_some_and(|ejection| ejection.probing || now < ejection.until)
+            .is_some_and(|ejection| !ejection.permits_probe(now))
         {
             return false;
         }
@@ -185,8 +219,10 @@
         {
             limit.try_take(now);
         }
-        if let Some(ejection) = &mut self.ejection {
-            ejection.probing = true;
+        for ejection in [&mut self.ejection, &mut self.displaced] {
+            if let Some(ejection) = ejection {
+                ejection.probing = true;
+            }
         }
     }
 
@@ -211,6 +247,7 @@
         match outcome {
             Outcome::Responded { latency, failed } => {
                 self.ejection = None;
+                self.displaced = None;
                 self.widen_return_window();
                 self.record_failure(failed, now);
                 self.record_latency(target, latency, now);
@@ -218,18 +255,28 @@
                     .min(f64::from(self.endpoint.slots) * DEFAULT_CAPACITY_PER_SLOT);
             }
             Outcome::Refused => self.record_refusal(now),
-            Outcome::Misdirected => self.misdirected = true,
-            Outcome::Unreachable => return Some(self.eject(now)),
+            Outcome::Misdirected => {
+                self.ejection = None;
+                let displaced = Ejection::after(self.displaced, DISPLACED_BACKOFF, now);
+                self.displaced = Some(displaced);
+            }
+            Outcome::Unreachable => {
+                self.end_probe();
+                return Some(self.eject(now));
+            }
             Outcome::ConnectionLost => {
+                self.end_probe();
                 self.record_failure(true, now);
                 return self.ejection.is_some().then(|| self.eject(now));
             }
             Outcome::TimedOut => {
+                self.end_probe();
                 self.record_failure(true, now);
                 self.record_latency(target, target.expected_latency.saturating_mul(4), now);
                 return self.ejection.is_some().then(|| self.eject(now));
             }
             Outcome::Cancelled => {
+                self.end_probe();
                 if let Some(ejection) = &mut self.ejection {
                     ejection.probing = false;
                 }
@@ -238,11 +285,19 @@
         None
     }
 
+    /// Ends a probe that did not show which endpoint has the address.
+    fn end_probe(&mut self) {
+        if let Some(ejection) = &mut self.displaced {
+            ejection.probing = false;
+        }
+    }
+
     /// Records a refusal. If the estimated load exceeds the slots, the endpoint
     /// is full and its capacity is known from now on. Otherwise it has free
     /// slots but does not accept requests, which counts as a failure.
     pub(super) fn record_refusal(&mut self, now: Instant) {
         self.ejection = None;
+        self.displaced = None;
         let load = self.load(now) + 1.0;
         let slots = f64::from(self.endpoint.slots);
         if load > slots {
@@ -267,23 +322,11 @@
         self.slowness = slowness.clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end());
     }
 
-    /// Ejects the endpoint and returns its backoff, which doubles only when a
-    /// probe has failed.
+    /// Ejects the endpoint as unreachable and returns its backoff.
     pub(super) fn eject(&mut self, now: Instant) -> Duration {
-        let backoff = match self.ejection {
-            // Requests that were in flight together fail together. The failures
-            // after the first one start the backoff again but do not double it.
-            Some(ejection) if !ejection.probing => ejection.backoff,
-            Some(ejection) => (ejection.backoff * 2).min(MAX_BACKOFF),
-            None => FIRST_BACKOFF,
-        };
-        let until = now + backoff;
-        self.ejection = Some(Ejection {
-            until,
-            backoff,
-            probing: false,
-        });
-        backoff
+        let ejection = Ejection::after(self.ejection, UNREACHABLE_BACKOFF, now);
+        self.ejection = Some(ejection);
+        ejection.backoff
     }
 
     pub(super) fn decay(&mut self, now: Instant) {
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -151,7 +151,9 @@
             };
             let mut state = match old.remove(&endpoint.key) {
                 Some(mut state) => {
-                    state.misdirected &= state.endpoint.address == endpoint.address;
+                    if state.endpoint.address != endpoint.address {
+                        state.displaced = None;
+                    }
                     state.endpoint = endpoint.clone();
                     state
                 }
@@ -359,6 +361,7 @@
                     failures: state.decayed(state.failures, 0.0, now),
                     slowness: state.decayed(state.slowness, 1.0, now),
                     ejected: state.ejection.is_some_and(|ejection| now < ejection.until),
+                    displaced: state.is_displaced(now),
                     cold: state.is_cold(now),
                     pause: self.notices.pause(&state.endpoint.key, now),
                     rate: state
@@ -541,6 +544,9 @@
     /// It could not be reached and receives no requests until its backoff has
     /// passed.
     pub ejected: bool,
+    /// Another endpoint has responded at its address, and it receives no requests
+    /// until its backoff has passed.
+    pub displaced: bool,
     /// It has just started, and its request rate is limited.
     pub cold: bool,
     /// The time in which it wants no requests from this VM.
--- a/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
@@ -54,7 +54,7 @@
         let mut same_region = Vec::with_capacity(service.endpoints.len());
         let mut other_regions = Vec::new();
         for (index, state) in service.endpoints.values().enumerate() {
-            if !self.is_eligible(state, request) {
+            if !self.is_eligible(state, request, now) {
                 continue;
             }
             let entry = (std::cmp::Reverse(score(request.object, state.hash)), index);
@@ -192,9 +192,9 @@
 
     /// Reports whether the endpoint may handle the request at all, regardless
     /// of its load and of whether it can be reached.
-    fn is_eligible(&self, state: &EndpointState, request: &PickRequest<'_>) -> bool {
+    fn is_eligible(&self, state: &EndpointState, request: &PickRequest<'_>, now: Instant) -> bool {
         !state.endpoint.draining
-            && !state.misdirected
+            && !state.is_displaced(now)
             && !self.evacuated.contains(&state.endpoint.failure_domain)
             && request.allows(&state.region)
             && (request.limited != LimitedEndpoints::Avoid || !state.is_limited())
--- a/crates/filbertgrade-coord/tests/steering/balancer.rs
+++ b/crates/filbertgrade-coord/tests/steering/balancer.rs
@@ -228,6 +228,57 @@
     assert_eq!(probes, 1, "one probe at a time");
 }
 
+/// Guards against an endpoint that gets no request any more after one response that
+/// says that another endpoint has its address, and against many requests to an
+/// address that another endpoint really has.
+#[test]
+fn endpoint_whose_address_another_one_has_is_probed_after_a_backoff() {
+    let mut now = Instant::now();
+    let list = [endpoint("one", "north", 3), endpoint("two", "north", 3)];
+    let mut balancer = with_endpoints(balancer("a", "north", &REGIONS), &list, now);
+    let displaced = send(&mut balancer, 7, now);
+    // Sends requests for new objects, and returns those that go to it; the others end
+    // at once.
+    let mut next_object = 100;
+    let mut sent_there = |balancer: &mut Balancer, now| {
+        let mut there = Vec::new();
+        next_object += 20;
+        for object in next_object..next_object + 20 {
+            let target = send(balancer, object, now);
+            if target.key == displaced.key {
+                there.push(target);
+            } else {
+                balancer.finish(&target, object, responded(200), None, now);
+            }
+        }
+        there
+    };
+    // Other requests are under way to it, and end in the same way.
+    let others = sent_there(&mut balancer, now);
+    assert!(!others.is_empty());
+    for target in others.iter().chain([&displaced]) {
+        balancer.finish(target, 7, Outcome::Misdirected, None, now);
+    }
+    let mut probes_at = sent_there;
+    for backoff_s in [1, 2, 4, 8, 16, 16] {
+        assert_eq!(probes_at(&mut balancer, now).len(), 0);
+        now += Duration::from_secs(backoff_s) - Duration::from_millis(1);
+        assert_eq!(probes_at(&mut balancer, now).len(), 0);
+        now += Duration::from_millis(2);
+        // A probe that shows nothing is followed by another one.
+        let lost = probes_at(&mut balancer, now);
+        assert_eq!(lost.len(), 1);
+        balancer.finish(&lost[0], 7, Outcome::Cancelled, None, now);
+        let probes = probes_at(&mut balancer, now);
+        assert_eq!(probes.len(), 1);
+        balancer.finish(&probes[0], 7, Outcome::Misdirected, None, now);
+    }
+    now += Duration::from_secs(17);
+    let probes = probes_at(&mut balancer, now);
+    balancer.finish(&probes[0], 7, responded(200), None, now);
+    assert!(!probes_at(&mut balancer, now).is_empty());
+}
+
 /// Guards against sending requests to an endpoint that fails them all while
 /// another endpoint works.
 #[rstest]
--- a/crates/filbertgrade/src/process/node/dump.rs
+++ b/crates/filbertgrade/src/process/node/dump.rs
@@ -77,6 +77,7 @@
                 "failures": estimate.failures,
                 "slowness": estimate.slowness,
                 "resting": estimate.ejected,
+                "displaced": estimate.displaced,
                 "cold": estimate.cold,
                 "pausing_since_ms": estimate.pause.map(|pause| millis(now.saturating_duration_since(pause.since))),
                 "pausing_for_ms": estimate.pause.map(|pause| millis(pause.until.saturating_duration_since(now))),
