Let endpoints of the soak return under another id at their address

Until now no two registrations of a soak named one address, so it could not show a second attempt of a request at the address of the first. New fault: an endpoint has crashed and returns under another id; its older registration remains for a while; requests meant for it get 421, each followed by a second copy after 1, 5 or 12 ms. The returns are drawn from a seed of their own, so that every seed keeps its other faults. What a process said of itself (a pause, its end, being cold) ends with it.

--latency-ms sets the latency between VMs and endpoints. TrueRefusal counts its cases, and is checked apart from OwnAnswer, which hid it.

--- a/crates/filbertgrade-standins/src/bin/filbertgrade-soak.rs
+++ b/crates/filbertgrade-standins/src/bin/filbertgrade-soak.rs
@@ -24,6 +24,9 @@
             optional --seconds seconds: u64
             /// Number of VMs. Default 6.
             optional --vms vms: usize
+            /// Latency between VMs and endpoints in each direction, in
+            /// milliseconds. Default 0.
+            optional --latency-ms latency_ms: u64
             /// Path of the program that is run as a node. Default: `filbertgrade`
             /// in the directory of this program.
             optional --node node: PathBuf
@@ -58,6 +61,7 @@
         seed: flags.seed.unwrap_or(1),
         length: Duration::from_secs(flags.seconds.unwrap_or(60)),
         vms: flags.vms.unwrap_or(6).max(1),
+        latency: Duration::from_millis(flags.latency_ms.unwrap_or(0)),
         node: match &flags.node {
             Some(node) => node.clone(),
             None => default_node_program()?,
--- a/crates/filbertgrade-standins/src/node/endpoint.rs
+++ b/crates/filbertgrade-standins/src/node/endpoint.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::common::lock;
@@ -53,10 +54,15 @@
 /// A running backend server. Clones share its state.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    /// Id under which the platform registers it.
+    /// Id under which the platform registers it first.
     pub id: String,
     /// Address that it accepts requests on.
     pub address: SocketAddr,
+    /// Id of the process that has the address now. Requests that are meant for another id get status
+    /// 421 and do not run.
+    process_id: Arc<Mutex<String>>,
+    /// Time after which it sends the refusal of such a request once more.
+    copy_delay: Arc<Mutex<Option<Duration>>>,
     behavior: Arc<Mutex<EndpointBehavior>>,
     /// Time for which it works on each request that names no other.
     service_time: Duration,
@@ -102,6 +108,8 @@
         let endpoint = Self {
             id: id.to_owned(),
             address: listener.local_addr()?,
+            process_id: Arc::new(Mutex::new(id.to_owned())),
+            copy_delay: Arc::default(),
             behavior: Arc::new(Mutex::new(EndpointBehavior::Serves)),
             service_time,
             runs: Arc::default(),
@@ -121,6 +129,23 @@
         Ok(endpoint)
     }
 
+    /// Id of the process that has the address now.
+    pub fn process_id(&self) -> String {
+        lock(&self.process_id).clone()
+    }
+
+    /// Lets another process take over the address, like an endpoint that has crashed and comes back
+    /// under another id.
+    pub fn set_process_id(&self, id: &str) {
+        id.clone_into(&mut lock(&self.process_id));
+    }
+
+    /// Sets the time after which it sends the refusal of a request that is meant for another id once
+    /// more.
+    pub fn set_copy_delay(&self, delay: Option<Duration>) {
+        *lock(&self.copy_delay) = delay;
+    }
+
     /// Sets the behavior for requests that arrive from now on.
     pub fn set_behavior(&self, behavior: EndpointBehavior) {
         *lock(&self.behavior) = behavior;
@@ -142,7 +167,8 @@
         *lock(&self.pause) = seconds.map(str::to_owned);
     }
 
-    /// Returns when each request so far arrived, also those that it refused.
+    /// Returns when each request so far arrived, also those that it refused, but for requests that are
+    /// meant for another id.
     pub fn arrivals(&self) -> Vec<Instant> {
         lock(&self.arrivals)
             .iter()
@@ -187,12 +213,19 @@
     }
 
     /// Handles the requests of one connection until it ends.
-    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+    async fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+        let (mut requests, responses) = stream.into_split();
+        let responses = Arc::new(tokio::sync::Mutex::new(responses));
         let mut buf = Vec::new();
         loop {
-            let Some(head) = read_head(&mut stream, &mut buf).await? else {
+            let Some(head) = read_head(&mut requests, &mut buf).await? else {
                 return Ok(());
             };
+            if self.is_meant_for_another(&head) {
+                self.refuse_as_another(&head, &mut requests, &mut buf, &responses)
+                    .await?;
+                continue;
+            }
             let behavior = *lock(&self.behavior);
             let own = self.own_lines();
             let id = header(&head, "x-filbertgrade-request-id");
@@ -206,37 +239,34 @@
                 "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}{pause}content-length: 0\r\n\r\n"
             );
             if behavior == EndpointBehavior::RefusesEarly {
-                stream.write_all(refusal.as_bytes()).await?;
+                write_all(&responses, refusal.as_bytes()).await?;
             }
             let length: usize = header(&head, "content-length").parse().unwrap_or(0);
-            if !read_body(&mut stream, &mut buf, length).await? {
+            if !read_body(&mut requests, &mut buf, length).await? {
                 return Ok(());
             }
             match behavior {
                 EndpointBehavior::RefusesEarly => continue,
                 EndpointBehavior::Refuses => {
-                    stream.write_all(refusal.as_bytes()).await?;
+                    write_all(&responses, refusal.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::RefusesTwice => {
-                    stream.write_all(refusal.as_bytes()).await?;
+                    write_all(&responses, refusal.as_bytes()).await?;
                     tokio::time::sleep(SECOND_COPY_DELAY).await;
-                    stream.write_all(refusal.as_bytes()).await?;
+                    write_all(&responses, refusal.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::RefusesAtLength => {
                     let head = format!(
                         "HTTP/1.1 503 Busy\r\nx-filbertgrade-request-id: {id}\r\nx-filbertgrade-not-executed: 1\r\n{own}content-length: {LONG_REFUSAL_BYTES}\r\n\r\n"
                     );
-                    stream.write_all(head.as_bytes()).await?;
-                    stream.write_all(&vec![b'x'; LONG_REFUSAL_BYTES]).await?;
+                    let refusal = head + &"x".repeat(LONG_REFUSAL_BYTES);
+                    write_all(&responses, refusal.as_bytes()).await?;
                     continue;
                 }
                 EndpointBehavior::IsAnother => {
-                    let response = format!(
-                        "HTTP/1.1 421 Other\r\nx-filbertgrade-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
-                    );
-                    stream.write_all(response.as_bytes()).await?;
+                    write_all(&responses, misdirected(&id).as_bytes()).await?;
                     continue;
                 }
                 _ => {}
@@ -267,17 +297,67 @@
                 "x-filbertgrade-server-seal"
             };
             let body = format!("answer of {} to {response_id}", self.id);
+            let sent_body = if behavior == EndpointBehavior::CutsAnswers {
+                &body[..5]
+            } else {
+                &body
+            };
+            // One write, so that no copy of a refusal gets into the middle of a response.
             let response = format!(
-                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\n{own}content-length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nx-filbertgrade-request-id: {response_id}\r\n{seal_header}: s\r\n{own}content-length: {}\r\n\r\n{sent_body}",
                 body.len()
             );
-            stream.write_all(response.as_bytes()).await?;
+            write_all(&responses, response.as_bytes()).await?;
             if behavior == EndpointBehavior::CutsAnswers {
-                return stream.write_all(&body.as_bytes()[..5]).await;
+                return Ok(());
             }
-            stream.write_all(body.as_bytes()).await?;
         }
     }
+
+    fn is_meant_for_another(&self, head: &str) -> bool {
+        let id = header(head, "x-filbertgrade-expected-instance");
+        !id.is_empty() && id != lock(&self.process_id).to_lowercase()
+    }
+
+    /// Refuses a request that is meant for another id, and sends the refusal once more later if a time
+    /// is set for that.
+    async fn refuse_as_another(
+        &self,
+        head: &str,
+        requests: &mut OwnedReadHalf,
+        buf: &mut Vec<u8>,
+        responses: &Arc<tokio::sync::Mutex<OwnedWriteHalf>>,
+    ) -> std::io::Result<()> {
+        let length: usize = header(head, "content-length").parse().unwrap_or(0);
+        if !read_body(requests, buf, length).await? {
+            return Ok(());
+        }
+        let id = header(head, "x-filbertgrade-request-id");
+        let refusal = misdirected(&id);
+        write_all(responses, refusal.as_bytes()).await?;
+        let copy_delay = *lock(&self.copy_delay);
+        if let Some(delay) = copy_delay {
+            let responses = Arc::clone(responses);
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                // Fails if the node has closed the connection.
+                drop(write_all(&responses, refusal.as_bytes()).await);
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Response of an endpoint that has taken over the address of another one.
+fn misdirected(id: &str) -> String {
+    format!("HTTP/1.1 421 Other\r\nx-filbertgrade-request-id: {id}\r\ncontent-length: 0\r\n\r\n")
+}
+
+async fn write_all(
+    responses: &tokio::sync::Mutex<OwnedWriteHalf>,
+    bytes: &[u8],
+) -> std::io::Result<()> {
+    responses.lock().await.write_all(bytes).await
 }
 
 /// Time in milliseconds that the query of a request names as its work.
@@ -289,7 +369,10 @@
 
 /// Reads the head of the next request and returns it in lower case, or `None` at the end of the
 /// connection.
-async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> std::io::Result<Option<String>> {
+async fn read_head(
+    stream: &mut OwnedReadHalf,
+    buf: &mut Vec<u8>,
+) -> std::io::Result<Option<String>> {
     loop {
         if let Some(end) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..end]).to_lowercase();
@@ -304,7 +387,7 @@
 
 /// Reads and discards a body. Returns false if the connection ends first.
 async fn read_body(
-    stream: &mut TcpStream,
+    stream: &mut OwnedReadHalf,
     buf: &mut Vec<u8>,
     length: usize,
 ) -> std::io::Result<bool> {
--- a/crates/filbertgrade-standins/src/soak/inject.rs
+++ b/crates/filbertgrade-standins/src/soak/inject.rs
@@ -124,13 +124,9 @@
         Fault::EndpointResets(endpoint) => state.proxies[endpoint].reset_open(),
         Fault::EndpointSilent(endpoint) => state.proxies[endpoint].freeze_open(),
         Fault::EndpointSlow(endpoint) => {
-            let slow = proxy::Fault {
-                delay: SLOW_DELAY,
-                ..proxy::Fault::default()
-            };
-            state.proxies[endpoint].set_fault(Direction::ToServer, slow);
+            state.set_delay(endpoint, Direction::ToServer, SLOW_DELAY);
             tokio::time::sleep(length).await;
-            state.proxies[endpoint].set_fault(Direction::ToServer, proxy::Fault::default());
+            state.set_delay(endpoint, Direction::ToServer, state.latency);
         }
         Fault::Drain(endpoint) => drain(state, endpoint, length).await,
         Fault::Announce(endpoint) => announce_end(state, endpoint, length).await,
@@ -141,6 +137,9 @@
             state.endpoints[endpoint].set_behavior(EndpointBehavior::Serves);
             state.endpoints[endpoint].set_pause(None);
         }
+        Fault::ReturnAsAnother(endpoint, copy_delay) => {
+            return_as_another(state, endpoint, copy_delay, length).await;
+        }
         Fault::Evacuate(domain) => evacuate(state, domain, length).await,
         Fault::WithdrawKey => state.withdraw_key(),
         Fault::Reconfigure => {
@@ -255,6 +254,24 @@
     state.restart(endpoint);
 }
 
+/// Lets an endpoint return at its address under another id. Its older registration remains for
+/// `length`. Has no effect on an endpoint that is being drained or evacuated.
+async fn return_as_another(
+    state: &RunState,
+    endpoint: usize,
+    copy_delay: Duration,
+    length: Duration,
+) {
+    if state.is_leaving(endpoint) {
+        return;
+    }
+    state.endpoints[endpoint].set_copy_delay(Some(copy_delay));
+    let old_id = state.replace_process(endpoint);
+    tokio::time::sleep(length).await;
+    state.endpoints[endpoint].set_copy_delay(None);
+    state.store.remove("servers", &old_id);
+}
+
 /// Evacuates a failure domain for `length`.
 async fn evacuate(state: &RunState, domain: usize, length: Duration) {
     let name = DOMAINS[domain].0;
--- a/crates/filbertgrade-standins/src/soak/mod.rs
+++ b/crates/filbertgrade-standins/src/soak/mod.rs
@@ -33,7 +33,7 @@
 use crate::node::endpoint::{Arrival, Endpoint, header};
 use crate::node::store::Store;
 use crate::node::unique_loopback_address;
-use crate::proxy::FaultProxy;
+use crate::proxy::{self, Direction, FaultProxy};
 
 /// Number of endpoints of a run.
 const ENDPOINTS: usize = 9;
@@ -113,6 +113,8 @@
     pub length: Duration,
     /// Number of VMs.
     pub vms: usize,
+    /// Latency between VMs and endpoints in each direction.
+    pub latency: Duration,
     /// Path of the `filbertgrade` program, which is run as a node.
     pub node: PathBuf,
     /// Existing directory for the settings and logs of the processes; they are kept after the run.
@@ -139,6 +141,8 @@
     endpoints: Vec<Endpoint>,
     /// Proxy in front of each endpoint, whose address is registered.
     proxies: Vec<FaultProxy>,
+    /// Latency of each direction of the proxies, without faults.
+    latency: Duration,
     history: Mutex<History>,
     /// Valid API keys of each team, oldest first.
     keys: Mutex<HashMap<&'static str, Vec<String>>>,
@@ -173,7 +177,7 @@
     for fault in &plan.faults {
         println!("  {fault}");
     }
-    let state = Arc::new(RunState::new().await?);
+    let state = Arc::new(RunState::new(options.latency).await?);
     let ip = unique_loopback_address();
     let mut vms = Vec::new();
     for number in 0..options.vms {
@@ -365,7 +369,7 @@
 impl RunState {
     /// Starts the store and the endpoints, registers the endpoints and writes the first
     /// configuration.
-    async fn new() -> io::Result<Self> {
+    async fn new(latency: Duration) -> io::Result<Self> {
         let store = Store::start().await?;
         let mut endpoints = Vec::new();
         let mut proxies = Vec::new();
@@ -393,6 +397,7 @@
             store,
             endpoints,
             proxies,
+            latency,
             history: Mutex::new(history),
             keys: Mutex::new(keys),
             version: AtomicU64::new(0),
@@ -402,6 +407,8 @@
             collected_arrivals: (0..ENDPOINTS).map(|_| AtomicUsize::new(0)).collect(),
         };
         for number in 0..ENDPOINTS {
+            state.set_delay(number, Direction::ToServer, latency);
+            state.set_delay(number, Direction::ToClient, latency);
             state.register(number, "ready", Duration::ZERO);
         }
         state.publish_configuration();
@@ -415,7 +422,17 @@
                           "state": state, "cold-remaining-s": cold.as_secs_f64(),
                           "seq-no": self.next_id.fetch_add(1, Ordering::Relaxed),
                           "born": self.starts[number].load(Ordering::Relaxed)});
-        self.store.put("servers", &self.endpoints[number].id, spec);
+        let id = self.endpoints[number].process_id();
+        self.store.put("servers", &id, spec);
+    }
+
+    /// Delays the bytes of one direction between all VMs and an endpoint.
+    fn set_delay(&self, endpoint: usize, direction: Direction, delay: Duration) {
+        let fault = proxy::Fault {
+            delay,
+            ..proxy::Fault::default()
+        };
+        self.proxies[endpoint].set_fault(direction, fault);
     }
 
     /// Registers an endpoint as one that has started again under its id.
@@ -424,6 +441,26 @@
         self.register(number, "ready", Duration::ZERO);
     }
 
+    /// Registers an endpoint under another id, as a new process at the same address, and returns the
+    /// id of the older registration, which remains. What the process before said of itself ends.
+    fn replace_process(&self, number: usize) -> String {
+        let endpoint = &self.endpoints[number];
+        let old_id = endpoint.process_id();
+        let start = self.starts[number].fetch_add(1, Ordering::Relaxed) + 1;
+        endpoint.set_process_id(&format!("{}-{start}", endpoint.id));
+        self.collect_runs();
+        lock(&self.history).end_of_process(number, Instant::now());
+        self.register(number, "ready", Duration::ZERO);
+        old_id
+    }
+
+    /// Returns whether an endpoint is being drained or evacuated.
+    fn is_leaving(&self, endpoint: usize) -> bool {
+        let history = lock(&self.history);
+        let mut periods = history.leaving_periods.iter();
+        periods.any(|period| period.endpoint == endpoint && period.until.is_none())
+    }
+
     /// Writes the next version of the configuration to the store.
     fn publish_configuration(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
--- a/crates/filbertgrade-standins/src/soak/plan.rs
+++ b/crates/filbertgrade-standins/src/soak/plan.rs
@@ -23,6 +23,17 @@
 /// Shortest and longest duration of a fault, in seconds.
 const FAULT_LENGTH_S: (f64, f64) = (0.3, 5.0);
 
+/// Mean time between the starts of two of the returns under another id, in seconds.
+const MEAN_RETURN_INTERVAL_S: f64 = 2.5;
+
+/// Delays of the second copies of an endpoint that returns under another id, in milliseconds. They are
+/// shorter than most work, so that a copy arrives where the response to another request is due.
+const COPY_DELAYS_MS: [u64; 3] = [1, 5, 12];
+
+/// Added to the seed of the returns under another id, which are drawn apart from the other faults, so
+/// that a seed keeps its other faults.
+const RETURN_SEED: u64 = 0x7265_7475_726e;
+
 /// Probability that a fault repeats the previous one, on the same VM or endpoint.
 const REPEAT_PROBABILITY: f64 = 0.2;
 
@@ -88,6 +99,10 @@
     Announce(usize),
     /// An endpoint refuses all requests and asks for pauses.
     AskForPauses(usize),
+    /// An endpoint has crashed and returns at its address under another id. Its older registration
+    /// remains until the end of the fault; the endpoint refuses requests that are meant for it, and
+    /// sends each of these refusals a second time after this delay.
+    ReturnAsAnother(usize, Duration),
     /// A failure domain is evacuated until the end of the fault.
     Evacuate(usize),
     /// An API key is withdrawn and a new one issued.
@@ -104,6 +119,7 @@
         let mut faults: Vec<PlannedFault> = Vec::new();
         let last_start = length.saturating_sub(FAULT_FREE_END).as_secs_f64();
         let mut at = FAULT_FREE_START.as_secs_f64();
+        let returns = draw_returns(seed, last_start, endpoints);
         while at < last_start {
             let repeats = rng.random_bool(REPEAT_PROBABILITY);
             let fault = match faults.last() {
@@ -120,6 +136,8 @@
             // Exponentially distributed interval, as between independent events.
             at += -MEAN_FAULT_INTERVAL_S * (1.0 - rng.random::<f64>()).ln();
         }
+        faults.extend(returns);
+        faults.sort_by_key(|planned| planned.at);
         Self {
             seed,
             length,
@@ -135,6 +153,28 @@
     }
 }
 
+/// Draws the returns of endpoints under another id.
+fn draw_returns(seed: u64, last_start: f64, endpoints: usize) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.wrapping_add(RETURN_SEED));
+    let mut faults = Vec::new();
+    let mut at = FAULT_FREE_START.as_secs_f64();
+    loop {
+        at += -MEAN_RETURN_INTERVAL_S * (1.0 - rng.random::<f64>()).ln();
+        if at >= last_start {
+            return faults;
+        }
+        let endpoint = rng.random_range(0..endpoints);
+        let delay = COPY_DELAYS_MS[rng.random_range(0..COPY_DELAYS_MS.len())];
+        let longest = FAULT_LENGTH_S.1.min(last_start - at).max(FAULT_LENGTH_S.0);
+        let length = rng.random_range(FAULT_LENGTH_S.0..=longest);
+        faults.push(PlannedFault {
+            at: Duration::from_secs_f64(at),
+            length: Duration::from_secs_f64(length),
+            fault: Fault::ReturnAsAnother(endpoint, Duration::from_millis(delay)),
+        });
+    }
+}
+
 /// Draws the kind and the target of one fault.
 fn draw(rng: &mut StdRng, vms: usize, endpoints: usize, domains: usize) -> Fault {
     const BEHAVIORS: [EndpointBehavior; 12] = [
--- a/crates/filbertgrade-standins/src/soak/promises.rs
+++ b/crates/filbertgrade-standins/src/soak/promises.rs
@@ -245,7 +245,8 @@
     pub fn violations(&self) -> Vec<Violation> {
         let checks = [
             self.check_runs(),
-            self.check_outcomes(),
+            self.check_answers(),
+            self.check_refusals(),
             self.check_rates(),
             self.check_keys(),
             self.check_versions(),
@@ -260,6 +261,18 @@
         checks.into_iter().flatten().collect()
     }
 
+    /// Records that the process of an endpoint has ended and another one has its address: what it
+    /// said of itself does not bind requests to the new one.
+    pub fn end_of_process(&mut self, endpoint: usize, at: Instant) {
+        let periods = self.announced_ends.iter_mut().chain(&mut self.cold_periods);
+        for period in periods.filter(|period| period.endpoint == endpoint) {
+            period.until = Some(period.until.map_or(at, |until| until.min(at)));
+        }
+        for pause in self.pauses.iter_mut().filter(|p| p.endpoint == endpoint) {
+            pause.length = pause.length.min(at.saturating_duration_since(pause.at));
+        }
+    }
+
     fn check_runs(&self) -> Option<Violation> {
         let mut seen = HashSet::new();
         let repeated = self.runs.iter().find(|run| {
@@ -272,21 +285,31 @@
         ))
     }
 
-    fn check_outcomes(&self) -> Option<Violation> {
+    fn check_answers(&self) -> Option<Violation> {
+        let mut outcomes = self.outcomes.iter();
+        let foreign = outcomes.find(|(_, outcome)| outcome.status == 200 && !outcome.is_valid);
+        let (id, _) = foreign?;
+        Some(violation(
+            Promise::OwnAnswer,
+            format!("id={id} got an answer that is cut, unsigned or another's"),
+        ))
+    }
+
+    fn check_refusals(&self) -> Option<Violation> {
         let run_ids: HashSet<&String> = self.runs.iter().map(|run| &run.id).collect();
-        self.outcomes
-            .iter()
-            .find_map(|(id, outcome)| match outcome.status {
-                200 if !outcome.is_valid => Some(violation(
-                    Promise::OwnAnswer,
-                    format!("id={id} got an answer that is cut, unsigned or another's"),
-                )),
-                408 | 421 | 429 | 503 if run_ids.contains(id) => Some(violation(
-                    Promise::TrueRefusal,
-                    format!("id={id} status={} and it ran", outcome.status),
-                )),
-                _ => None,
-            })
+        let is_untrue = |(id, outcome): &(&String, &RequestOutcome)| {
+            matches!(outcome.status, 408 | 421 | 429 | 503) && run_ids.contains(id)
+        };
+        let untrue: Vec<_> = self.outcomes.iter().filter(is_untrue).collect();
+        let (id, outcome) = untrue.first()?;
+        Some(violation(
+            Promise::TrueRefusal,
+            format!(
+                "id={id} status={} and it ran; {} such requests so far",
+                outcome.status,
+                untrue.len()
+            ),
+        ))
     }
 
     fn check_rates(&self) -> Option<Violation> {
--- a/crates/filbertgrade/tests/soak.rs
+++ b/crates/filbertgrade/tests/soak.rs
@@ -21,6 +21,7 @@
         seed,
         length: Duration::from_secs(seconds),
         vms,
+        latency: Duration::ZERO,
         node: env!("CARGO_BIN_EXE_filbertgrade").into(),
         logs: logs.path().to_owned(),
     };
