Pass on no response with an id to a request without one (node)

What callers saw: a request without an id got any response that arrived, also one that named another request.

--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -443,7 +443,9 @@
     let id_matches = match (&head.id, &call.head.id) {
         (Some(echoed), Some(sent)) => echoed == sent,
         (None, Some(_)) => head.kind != ResponseKind::Run && !reused,
-        (_, None) => true,
+        (Some(_), None) => false,
+        // Such a request gets a new connection.
+        (None, None) => !reused,
     };
     if !id_matches {
         return Some(Failure::ForeignResponse);
--- a/crates/filbertgrade/tests/node/bad_bytes.rs
+++ b/crates/filbertgrade/tests/node/bad_bytes.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::cluster::{KEY, Node, TestCluster, eventually};
+use filbertgrade_standins::node::endpoint::EndpointBehavior;
 
 /// Latest end of a request, whose route has a timeout of 2 s.
 const END_OF_REQUEST: Duration = Duration::from_millis(2_600);
@@ -255,6 +256,19 @@
     .await;
 }
 
+/// Guards against a response to another request that reaches the caller of a request
+/// without an id.
+#[tokio::test]
+async fn request_without_an_id_gets_no_response_that_has_one() {
+    let cluster = TestCluster::start(&[1]).await;
+    cluster.endpoints[0].set_behavior(EndpointBehavior::CrossesAnswers);
+    let head = cluster.nodes[0].request_head("POST", "order", "ID", Some(KEY));
+    let head = head.replace("x-filbertgrade-request-id: ID\r\n", "");
+    let response = crate::cluster::exchange(cluster.nodes[0].callers, &head).await;
+    assert_eq!(response.unwrap().status, 502);
+    cluster.nodes[0].line_with(&["result=foreign_answer"]).await;
+}
+
 /// Guards against an order that runs at two endpoints, or is refused although it
 /// ran, because the late second copy of an earlier refusal is taken for the response
 /// to it.
