Let an endpoint with a limit keep the objects that its rate needs

Cause: one in four requests that overflow to another endpoint moves its object there, and the number of objects does not matter. Where callers ask for a few objects again and again, all of them move, one after the other, and none comes back while the limit lasts. A late token had no part in it.

Each VM now keeps a moving average of the requests for the endpoint's objects that overflow. With n objects of similar demand, the rate is still used up without one of them if more than 1/n overflow; only then an object moves. The last one never does.

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -185,6 +185,22 @@
         self.limit.as_ref().is_some_and(EndpointLimit::is_limited)
     }
 
+    /// Counts a request for an object of the endpoint if it names a limit: whether it
+    /// was sent elsewhere because of that.
+    pub(super) fn record_pick(&mut self, overflows: bool) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_pick(overflows);
+        }
+    }
+
+    /// Whether one of its `objects` may move to another endpoint because of the limit
+    /// that it names.
+    pub(super) fn may_lose_object(&self, objects: u32) -> bool {
+        self.limit
+            .as_ref()
+            .is_none_or(|limit| limit.may_lose_object(objects))
+    }
+
     /// Reports whether a request may be sent now, as far as ejection, cold start,
     /// the return after a pause, and the rate that the endpoint names are concerned.
     pub(super) fn is_available(&self, now: Instant) -> bool {
@@ -219,10 +235,9 @@
         {
             limit.try_take(now);
         }
-        for ejection in [&mut self.ejection, &mut self.displaced] {
-            if let Some(ejection) = ejection {
-                ejection.probing = true;
-            }
+        let ejections = [&mut self.ejection, &mut self.displaced];
+        for ejection in ejections.into_iter().flatten() {
+            ejection.probing = true;
         }
     }
 
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -263,8 +263,11 @@
             && candidate.is_some_and(|candidate| {
                 service.endpoints[candidate.index].region != preferred.region
             });
-        // An endpoint over its limit must not lose all its objects at once.
+        // An endpoint over its limit must not lose all its objects at once, nor more of
+        // them than it needs to for its limit.
         let overflows = preferred.is_limited() && !is_available;
+        let objects = self.affinities.object_count(preferred.hash);
+        let may_move = !overflows || preferred.may_lose_object(objects);
         let spill = spill_config(&self.cfg);
         let time_left = request.time_left.as_secs_f64() * TIME_LEFT_USED;
         let mut sets_affinity = !spills && !overflows;
@@ -276,8 +279,11 @@
             if spills && !service.spill.try_spill(&spill, now) {
                 return first.filter(|first| first.cost <= time_left);
             }
+            if overflows {
+                service.endpoints[ranking[0]].record_pick(true);
+            }
             service.spilled += 1;
-            sets_affinity = service.spilled % SPILLS_PER_MOVE == 0;
+            sets_affinity = may_move && service.spilled % SPILLS_PER_MOVE == 0;
             Some(candidate)
         });
         match candidate {
@@ -460,6 +466,9 @@
             .and_then(|service| service.endpoints.get_mut(&target.key))
         {
             state.start_request(now);
+            if candidate.rank == 0 {
+                state.record_pick(false);
+            }
         }
         target
     }
--- a/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
+++ b/crates/filbertgrade-coord/src/steering/endpoint_limit.rs
@@ -48,6 +48,9 @@
 /// Smallest relative change of a rate that other VMs must know at once.
 const RELEVANT_CHANGE: f64 = 0.1;
 
+/// Weight of one request in the moving average of the overflow.
+const OVERFLOW_WEIGHT: f64 = 0.1;
+
 /// The rate that an endpoint accepts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum EndpointRate {
@@ -92,6 +95,9 @@
     tokens: Option<HolderTokens>,
     /// Until when this VM does not request a token from the holder.
     closed_until: Instant,
+    /// Moving average of the fraction of the requests for its objects that this VM
+    /// sends elsewhere because of the limit.
+    overflow: f64,
 }
 
 /// Tokens of the holder.
@@ -122,6 +128,7 @@
             holder: holder.vm.clone(),
             tokens: None,
             closed_until: now,
+            overflow: 0.0,
         };
         limit.set_holder(holder, now);
         limit.set_rate(notice, now);
@@ -237,6 +244,19 @@
         self.closed_until = now + wait.clamp(MIN_CLOSED_TIME, MAX_CLOSED_TIME);
     }
 
+    /// Counts a request for one of its objects, which was sent elsewhere because of
+    /// the limit or not.
+    pub(super) fn record_pick(&mut self, overflows: bool) {
+        let sample = f64::from(u8::from(overflows));
+        self.overflow += (sample - self.overflow) * OVERFLOW_WEIGHT;
+    }
+
+    /// Whether the rate is still used up if one of its `objects` moves to another
+    /// endpoint, where all of them get the same number of requests.
+    pub(super) fn may_lose_object(&self, objects: u32) -> bool {
+        self.overflow * f64::from(objects) > 1.0
+    }
+
     fn update_share(&mut self, now: Instant) {
         let Some(tokens) = &mut self.tokens else {
             return;
--- a/crates/filbertgrade-coord/tests/steering/endpoint_limits.rs
+++ b/crates/filbertgrade-coord/tests/steering/endpoint_limits.rs
@@ -50,6 +50,8 @@
 struct Fleet {
     vms: Vec<Vm>,
     endpoints: Vec<Endpoint>,
+    /// Number of objects that requests concern.
+    objects: u64,
     now: Instant,
     rng: StdRng,
     rate: EndpointRate,
@@ -84,6 +86,7 @@
         Self {
             vms: vms.collect(),
             endpoints,
+            objects: 4_000,
             now,
             rng: StdRng::seed_from_u64(seed),
             rate: EndpointRate::Unlimited,
@@ -108,6 +111,7 @@
             self.update_members();
             self.finish_requests();
             self.exchange_rates();
+            self.exchange_affinities();
             let mut due = rate * STEP.as_secs_f64();
             while due >= 1.0 || self.rng.random_bool(due.clamp(0.0, 1.0)) {
                 due -= 1.0;
@@ -181,6 +185,22 @@
         }
     }
 
+    /// Sends the changed affinities of each VM to all others.
+    fn exchange_affinities(&mut self) {
+        for sender in 0..self.vms.len() {
+            let affinities = self.vms[sender].balancer.affinities();
+            let updates = affinities.take_pending_updates(usize::MAX);
+            if updates.is_empty() {
+                continue;
+            }
+            for (number, vm) in self.vms.iter_mut().enumerate() {
+                if number != sender {
+                    vm.balancer.apply_affinities(updates.clone(), self.now);
+                }
+            }
+        }
+    }
+
     fn send_request(&mut self) {
         let sender = self.rng.random_range(0..self.vms.len());
         if !self.vms[sender].running {
@@ -188,7 +208,7 @@
         }
         let object = self
             .rng
-            .random_range(0..4_000_u64)
+            .random_range(0..self.objects)
             .wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let service = service();
         let mut granted = None;
@@ -311,6 +331,33 @@
     assert_eq!(fleet.refused, 0);
 }
 
+/// Guards against an endpoint that loses all its objects to other endpoints while it
+/// names a limit, so that hardly any of the rate that it names is used, where callers
+/// send requests for few objects again and again.
+#[rstest]
+#[case::ten_vms(10, 20, 100.0)]
+#[case::many_vms(200, 60, 300.0)]
+fn limited_endpoint_keeps_objects_for_its_rate(
+    #[case] vms: usize,
+    #[case] endpoints: usize,
+    #[case] load: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let rate = 2.0;
+    let mut fleet = Fleet::new(vms, endpoints, seed);
+    // Each endpoint gets 5 requests a second for three objects.
+    fleet.objects = 3 * endpoints as u64;
+    fleet.run(Duration::from_secs(6), load);
+    fleet.rate = EndpointRate::PerSecond(rate);
+    fleet.run(SETTLE_TIME, load);
+    let from = fleet.now;
+    fleet.run(10 * WINDOW, load);
+    let used = fleet.arrivals.iter().filter(|at| **at >= from).count() as f64;
+    let used = used / (10 * WINDOW).as_secs_f64();
+    assert!(used >= rate / 2.0, "{used:.1} of {rate} requests a second");
+    assert_eq!(fleet.refused, 0);
+}
+
 /// Guards against two VMs that both grant the whole rate while the others learn of
 /// a stopped or restarted VM one after the other.
 #[rstest]
