--- a/crates/filbertgrade-standins/tests/soak.rs
+++ b/crates/filbertgrade-standins/tests/soak.rs
@@ -175,6 +175,25 @@
     assert_eq!(broken, []);
 }
 
+/// Guards against a violation that is reported although another process had the endpoint's address
+/// by then, which said none of it.
+#[rstest]
+#[case(Promise::AnnouncedEnd, 2)]
+#[case(Promise::Pause, 5)]
+#[case(Promise::ColdRate, 10)]
+fn what_a_process_said_ends_with_it(#[case] promise: Promise, #[case] said_at: u64) {
+    let start = Instant::now();
+    let mut history = kept_history(start);
+    break_promise(&mut history, promise, start);
+    let broken: Vec<_> = history.violations().iter().map(|v| v.promise).collect();
+    assert_eq!(broken, [promise]);
+    for endpoint in 0..3 {
+        let ended_at = start + Duration::from_secs(said_at) + Duration::from_millis(100);
+        history.end_of_process(endpoint, ended_at);
+    }
+    assert_eq!(history.violations(), []);
+}
+
 /// Guards against a violation that is reported although VMs could not learn of the drain, because
 /// the store was unavailable.
 #[test]
