Count the delay between calls to a silent store from their start (node)

Cause, by arithmetic: the node that follows the store may have sent a call just before it responds again, waits 0.8 s for its response, and then up to 0.9 s more before the next call. Followers try their relay every 0.3 s, two levels of them: 0.8 + 0.9 + 2 x 0.3 s = 2.3 s, so that 0.2 s were left for everything else. The delay now counts from the start of the failed call, so that a node calls a silent store about once a second as before a busy one: 0.8 + 0.1 + 2 x 0.3 s = 1.5 s.

--- a/crates/filbertgrade/src/process/node/source.rs
+++ b/crates/filbertgrade/src/process/node/source.rs
@@ -99,6 +99,8 @@
     retry_delay: Duration,
     /// Before this instant, the store is not called again.
     next_call_at: Instant,
+    /// When the last call to the store started.
+    called_at: Instant,
 }
 
 /// Outcome of one attempt to read a kind.
@@ -128,6 +130,7 @@
             failed_relays: node.failed_relays.subscribe(),
             retry_delay: INITIAL_RETRY_DELAY,
             next_call_at: node.started,
+            called_at: node.started,
         }
     }
 
@@ -190,6 +193,7 @@
                 return ReadOutcome::Retry;
             }
         }
+        self.called_at = Instant::now();
         match self.client.list_stale(self.kind, CALL_TIMEOUT).await {
             Ok(list) if revision.is_some_and(|known| list.revision < known) => ReadOutcome::Retry,
             Ok(list) => ReadOutcome::Update(Update::snapshot(list, None)),
@@ -302,6 +306,7 @@
     ) -> ReadOutcome {
         tokio::time::sleep_until(self.next_call_at.into()).await;
         let started_at = Instant::now();
+        self.called_at = started_at;
         self.store_restored.mark_unchanged();
         let confirmed_at = node.store_copy.with(self.kind, |copy| copy.confirmed_at());
         let age = confirmed_at.map(|at| started_at.saturating_duration_since(at));
@@ -382,10 +387,13 @@
         self.next_probe_at = now + delay;
     }
 
-    /// Waits before the next call, longer after each consecutive failure.
+    /// Waits before the next call, longer after each consecutive failure. The delay
+    /// counts from the start of the failed call: one that got no response in
+    /// [`CALL_TIMEOUT`] has kept the node from the store for long enough.
     pub(super) async fn back_off(&mut self) {
         let fraction = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.retry_delay.mul_f64(fraction)).await;
+        let next_call = self.called_at + self.retry_delay.mul_f64(fraction);
+        tokio::time::sleep_until(next_call.into()).await;
         self.retry_delay = (self.retry_delay * 3 / 2).min(MAX_RETRY_DELAY);
     }
 }
