--- a/crates/filbertgrade/src/connection/response_id.rs
+++ b/crates/filbertgrade/src/connection/response_id.rs
@@ -25,22 +25,25 @@
     /// the copy of one to an earlier request with the same id could not be told from
     /// the response to the later one.
     ids: Vec<ResponseId>,
+    /// Number of requests, including those without an id.
+    requests: usize,
 }
 
 impl CarriedIds {
     /// Whether the response to a request with this id can be told from a late copy of
     /// any response so far. Without an id only the first one of a connection can.
     pub(super) fn can_tell(&self, id: Option<ResponseId>) -> bool {
-        id.map_or(self.ids.is_empty(), |id| !self.ids.contains(&id))
+        id.map_or(self.requests == 0, |id| !self.ids.contains(&id))
     }
 
     /// Adds the id of a request that is about to be sent.
     pub(super) fn add(&mut self, id: Option<ResponseId>) {
         self.ids.extend(id);
+        self.requests += 1;
     }
 
     /// Whether the connection must not carry another request.
     pub(super) fn is_full(&self) -> bool {
-        self.ids.len() >= MAX_REQUESTS
+        self.requests >= MAX_REQUESTS
     }
 }
--- a/crates/filbertgrade/tests/node/bad_bytes.rs
+++ b/crates/filbertgrade/tests/node/bad_bytes.rs
@@ -267,6 +267,12 @@
     let response = crate::cluster::exchange(cluster.nodes[0].callers, &head).await;
     assert_eq!(response.unwrap().status, 502);
     cluster.nodes[0].line_with(&["result=foreign_answer"]).await;
+    // Responses without an id belong to such requests, one after the other.
+    cluster.endpoints[0].set_behavior(EndpointBehavior::Serves);
+    for _ in 0..3 {
+        let response = crate::cluster::exchange(cluster.nodes[0].callers, &head).await;
+        assert_eq!(response.unwrap().status, 200);
+    }
 }
 
 /// Guards against an order that runs at two endpoints, or is refused although it
--- a/crates/filbertgrade/tests/path/pool.rs
+++ b/crates/filbertgrade/tests/path/pool.rs
@@ -145,11 +145,21 @@
         response_id: id.map(|id| ResponseId::from(id.as_bytes())),
         ..params(address, 10, true)
     };
-    for id in [Some("a"), Some("b"), Some("c"), Some("a"), Some("b"), None] {
+    let ids = [
+        Some("a"),
+        Some("b"),
+        Some("c"),
+        Some("a"),
+        Some("b"),
+        None,
+        None,
+    ];
+    for id in ids {
         run_request(&pool, &with_id(id), false).await;
     }
-    // The second "a" opened another connection, which "b" used as well.
-    assert_eq!(count.peak.load(Ordering::SeqCst), 3);
+    // The second "a" opened another connection, which "b" used as well, and each request
+    // without an id opened one.
+    assert_eq!(count.peak.load(Ordering::SeqCst), 4);
     let connection = pool.checkout(&with_id(Some("d"))).await.unwrap();
     assert!(connection.is_reused());
     let connection = pool.checkout(&with_id(None)).await.unwrap();
