--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -383,6 +383,10 @@
     let _ = child.wait();
 }
 
+/// Names a directory in which the logs of all processes are kept, to trace a test that
+/// fails at times. Without it they are discarded.
+const LOGS_VARIABLE: &str = "FILBERTGRADE_TEST_LOGS";
+
 fn spawn(role: &str, address: IpAddr, store: SocketAddr, platform_record: &VmEntry) -> Child {
     command(role, address, store, platform_record)
         .spawn()
@@ -405,6 +409,16 @@
         .env("RUST_LOG", "error")
         .stdin(Stdio::null())
         .stdout(Stdio::null());
+    if let Some(dir) = std::env::var_os(LOGS_VARIABLE) {
+        let name = format!("{role}-{address}.log");
+        let path = std::path::Path::new(&dir).join(name);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path)
+            .unwrap();
+        command.env("RUST_LOG", "debug").stdout(log);
+    }
     command
 }
 
