--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -52,11 +52,6 @@
     pub(super) region: RegionName,
     /// Requests of this VM at the endpoint.
     pub(super) in_flight: u32,
-    /// It has responded to this VM, so that its load report, if it sends any, is known.
-    pub(super) has_responded: bool,
-    /// Number of VMs of its region, which are assumed to send it as many requests as
-    /// this one until it responds.
-    pub(super) assumed_senders: usize,
     /// Requests of other VMs according to the last load report.
     pub(super) other_load: f64,
     /// Moving average of `other_load` over the load reports.
@@ -127,8 +122,6 @@
             hash: endpoint_hash(&endpoint.key.id),
             region,
             in_flight: 0,
-            has_responded: false,
-            assumed_senders: 1,
             other_load: 0.0,
             other_load_mean: 0.0,
             reported_at: None,
@@ -173,13 +166,7 @@
     /// Returns the best known estimate of the requests of all VMs at the
     /// endpoint: this VM's own, plus those of the others from the load reports.
     /// The last report counts most while it is recent, the average afterwards.
-    ///
-    /// Before the first response, the others are assumed to send as many as this VM.
-    /// Otherwise the first requests of all VMs fill the endpoint's queue.
     pub(super) fn load(&self, now: Instant) -> f64 {
-        if !self.has_responded {
-            return f64::from(self.in_flight) * self.assumed_senders as f64;
-        }
         let age = self.reported_at.map_or(f64::INFINITY, |at| {
             now.saturating_duration_since(at).as_secs_f64()
         });
@@ -272,7 +259,6 @@
         outcome: Outcome,
         now: Instant,
     ) -> Option<Duration> {
-        self.has_responded |= matches!(outcome, Outcome::Responded { .. } | Outcome::Refused);
         match outcome {
             Outcome::Responded { latency, failed } => {
                 self.ejection = None;
--- a/crates/filbertgrade-coord/src/steering/balancer/limits.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/limits.rs
@@ -29,8 +29,7 @@
 
 impl Balancer {
     /// Replaces the running VMs of each region, which grant the tokens of
-    /// endpoints that limit their rate, and send requests to endpoints whose load is
-    /// not known yet. This VM is one of them.
+    /// endpoints that limit their rate. This VM is one of them.
     pub fn set_vms_by_region(&mut self, vms: IndexMap<RegionName, Vec<VmName>>, now: Instant) {
         if self.limits.vms_changed_at.is_some() && self.limits.vms == vms {
             return;
@@ -39,7 +38,6 @@
         self.limits.vms_changed_at = Some(now);
         for service in self.services.values_mut() {
             for state in service.endpoints.values_mut() {
-                state.assumed_senders = self.limits.vms_in(&state.region);
                 if let Some(mut limit) = state.limit.take() {
                     limit.set_holder(self.limits.holder(state, &self.cfg.vm), now);
                     state.limit = Some(limit);
@@ -156,11 +154,6 @@
 }
 
 impl LimitSharing {
-    /// Number of running VMs in a region; at least 1.
-    pub(super) fn vms_in(&self, region: &RegionName) -> usize {
-        self.vms.get(region).map_or(1, |vms| vms.len().max(1))
-    }
-
     fn holder(&self, state: &EndpointState, local: &VmName) -> Holder {
         let nearby = self.vms.get(&state.region).map_or(&[][..], Vec::as_slice);
         let vm = holder(&state.endpoint.key.id, nearby, self.vms.values().flatten());
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -157,11 +157,7 @@
                     state.endpoint = endpoint.clone();
                     state
                 }
-                None => {
-                    let mut state = EndpointState::new(endpoint, region.clone(), now);
-                    state.assumed_senders = self.limits.vms_in(region);
-                    state
-                }
+                None => EndpointState::new(endpoint, region.clone(), now),
             };
             state.endpoint.draining |= self.notices.is_leaving(&endpoint.key);
             state.mark_cold(endpoint.cold_for, now);
