Wait for the effect of a drain, not for its log line, beside an odd entry

Its log shows why: at 1.9 s it read the endpoints as a list (endpoints_listed count=3), which names no single changes; the line comes with a watch only. The drain was in force.

The test now waits on every node until ten requests in a row are served by the other endpoint, within the same 10 s, which is what the line stood for.

--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -227,8 +227,19 @@
     let mut cluster = TestCluster::with_nodes(&[1, 1], 2).await;
     cluster.store.put_text("servers", "left-behind", entry);
     cluster.register(&cluster.endpoints[0], "draining");
+    // The log names the change of an endpoint only if it arrives alone, not in a list.
     for node in &cluster.nodes {
-        node.line_with(&["endpoint=i-0 ", "draining=true"]).await;
+        eventually("the endpoint that drains gets no requests", || async {
+            for n in 0..10 {
+                let id = format!("d{n}");
+                let response = node.request("GET", "safe", &id, Some(KEY)).await;
+                if response.body != format!("answer of i-1 to {id}") {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
     }
     let late = Node::start("vm-2", cluster.store.address).await;
     late.wait_ready().await;
