--- a/crates/filbertgrade/src/connection/response_id.rs
+++ b/crates/filbertgrade/src/connection/response_id.rs
@@ -1,4 +1,4 @@
-//! The ids by which the responses on a connection are told apart.
+//! The ids that match the responses on a connection to their requests.
 
 use xxhash_rust::xxh3::xxh3_64;
 
