Give store events and running attempts a home of their own

platform/src/decode.rs and store.rs imported each other, as did node/attempt.rs and responses.rs. Object and Event move to platform/src/events.rs, RunningAttempt with its log line to node/running_attempt.rs; both circles are gone. Code is moved only, fields that attempt.rs sets are visible to it.

--- a/crates/filbertgrade/src/process/node/attempt.rs
+++ b/crates/filbertgrade/src/process/node/attempt.rs
@@ -13,6 +13,7 @@
 use super::body::{BufferedBody, buffer_body};
 use super::responses::{self, Body, StreamedResponse};
 use super::routing::{Call, is_key_valid};
+use super::running_attempt::{ConnectionUse, RunningAttempt};
 use super::{Node, endpoint_rates, notices};
 use crate::connection::{Busy, CheckoutParams, Connection, PoolError, RequestBody};
 use crate::logfmt;
@@ -28,28 +29,6 @@
 /// being sent.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
-/// An attempt that the balancer counts as load of its endpoint until it ends. If
-/// dropped before, it ends as cancelled.
-#[derive(Debug)]
-pub(super) struct RunningAttempt {
-    node: Arc<Node>,
-    target: Target,
-    object: u64,
-    started: Instant,
-    /// Connection of the attempt; `None` until it has one.
-    connection: Option<ConnectionUse>,
-    ended: bool,
-}
-
-/// How an attempt used its connection, for the log.
-#[derive(Clone, Copy, Debug)]
-struct ConnectionUse {
-    /// The connection had served another request before.
-    reused: bool,
-    /// Bytes of the request that were sent on it.
-    sent_bytes: u64,
-}
-
 /// The result of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
@@ -71,57 +50,6 @@
 /// A response whose body has been read as far as it is buffered.
 type BufferedResponse = (response::Parts, BufferedBody);
 
-impl RunningAttempt {
-    pub(super) fn new(node: &Arc<Node>, target: Target, object: u64) -> Self {
-        Self {
-            node: Arc::clone(node),
-            target,
-            object,
-            started: Instant::now(),
-            connection: None,
-            ended: false,
-        }
-    }
-
-    /// Returns the connection to the pool after a complete response.
-    pub(super) fn put_back(&self, connection: Connection<Busy>, idle_limit: Duration) {
-        let connection = connection.finish(Instant::now());
-        self.node
-            .pool
-            .put_back_with_idle_limit(connection, idle_limit);
-    }
-
-    /// Reports the outcome to the balancer, and logs if that ejects the endpoint.
-    pub(super) fn end(&mut self, outcome: Outcome, report: Option<LoadReport>) {
-        self.ended = true;
-        let now = Instant::now();
-        let backoff =
-            lock(&self.node.balancer).finish(&self.target, self.object, outcome, report, now);
-        if let Some(backoff) = backoff {
-            log::warn!(
-                "event=endpoint_rests endpoint={} address={} service={} ms={}",
-                logfmt::value(&self.target.key),
-                self.target.address,
-                self.target.service,
-                backoff.as_millis(),
-            );
-        }
-    }
-
-    /// Time since the start of the attempt.
-    fn latency(&self) -> Duration {
-        self.started.elapsed()
-    }
-}
-
-impl Drop for RunningAttempt {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(Outcome::Cancelled, None);
-        }
-    }
-}
-
 /// Sends a request to an endpoint and reads its response.
 pub(super) async fn run(
     node: &Arc<Node>,
@@ -298,59 +226,6 @@
     refused(attempt, call, failure, outcome, load)
 }
 
-impl RunningAttempt {
-    /// Ends the attempt with a response that is passed on.
-    /// Returns whether it is a server error.
-    fn end_with_response(
-        &mut self,
-        head: &ResponseHead,
-        parts: &response::Parts,
-        call: &Call,
-    ) -> bool {
-        self.end(self.response_outcome(parts), head.load);
-        let failed = parts.status.is_server_error();
-        if failed {
-            self.log(call, "failed_answer", Some(parts.status));
-        }
-        failed
-    }
-
-    /// Outcome of an attempt whose response arrives completely.
-    fn response_outcome(&self, parts: &response::Parts) -> Outcome {
-        Outcome::Responded {
-            latency: self.latency(),
-            failed: parts.status.is_server_error(),
-        }
-    }
-
-    fn log(&self, call: &Call, result: &str, status: Option<StatusCode>) {
-        let target = &self.target;
-        let connection = match self.connection {
-            None => "none",
-            Some(ConnectionUse { reused: false, .. }) => "new",
-            Some(ConnectionUse { reused: true, .. }) => "reused",
-        };
-        log::info!(
-            "event=attempt id={} endpoint={} address={} region={} result={result} status={} \
-             connection={connection} sent_bytes={} ms={} \
-             expected_ms={} load={:.1} slots={} load_age_ms={} repeat={}",
-            call.id(),
-            logfmt::value(&target.key),
-            target.address,
-            target.region,
-            status.map_or(0, |s| s.as_u16()),
-            self.connection
-                .map_or(0, |connection| connection.sent_bytes),
-            self.latency().as_millis(),
-            target.expected_latency.as_millis(),
-            target.load,
-            target.slots,
-            target.report_age.map_or(-1, |age| age.as_millis() as i64),
-            target.object_cached,
-        );
-    }
-}
-
 /// Ends an attempt whose request the endpoint refused to run.
 fn refused(
     attempt: &mut RunningAttempt,
--- a/crates/filbertgrade/src/process/node/copy.rs
+++ b/crates/filbertgrade/src/process/node/copy.rs
@@ -6,8 +6,9 @@
 use std::time::Instant;
 
 use filbertgrade_coord::steering::store_revision::StoreRevision;
+use filbertgrade_platform::events::{Event, Object};
 use filbertgrade_platform::objects::Kind;
-use filbertgrade_platform::store::{Event, Listing, Object};
+use filbertgrade_platform::store::Listing;
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod responses;
 mod routing;
+mod running_attempt;
 mod source;
 mod stop;
 mod store;
--- a/crates/filbertgrade/src/process/node/relay.rs
+++ b/crates/filbertgrade/src/process/node/relay.rs
@@ -12,8 +12,8 @@
 use filbertgrade_coord::steering::following::{AfterPullFailure, PullFailure};
 use filbertgrade_coord::steering::store_health::Outage;
 use filbertgrade_coord::steering::store_revision::StoreRevision;
+use filbertgrade_platform::events::{Event, Object};
 use filbertgrade_platform::objects::Kind;
-use filbertgrade_platform::store::{Event, Object};
 use tokio::net::TcpListener;
 
 use super::Node;
--- a/crates/filbertgrade/src/process/node/responses.rs
+++ b/crates/filbertgrade/src/process/node/responses.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 
-use super::attempt::RunningAttempt;
+use super::running_attempt::RunningAttempt;
 use crate::connection::{Busy, Connection};
 use crate::request::{self, Cause, Refusal};
 
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -12,10 +12,10 @@
 use filbertgrade_coord::steering::quota::Limit;
 use filbertgrade_coord::steering::registry::{REREGISTRATION_GRACE, Registry, RegistryChange};
 use filbertgrade_coord::steering::store_revision::StoreRevision;
+use filbertgrade_platform::events::{Event, Object};
 use filbertgrade_platform::objects::{
     self, CONFIGURATION_NAME, Kind, ReadConfiguration, UnreadablePart,
 };
-use filbertgrade_platform::store::{Event, Object};
 use indexmap::IndexMap;
 
 use super::copy::Update;
