Accept names with any characters from the store

Cause: the node refused on input what a header or a log line cannot hold without escaping. The header that names the expected endpoint was left out for such an id, and with it the protection against another process at the address.

Names of store objects are any text of 1 to 1,024 bytes now; a datagram between VMs has room for one. Log lines quote names. Settings and look-ups refuse white space as before (from_external_word), so their tests stay.

--- a/crates/filbertgrade-coord/src/names.rs
+++ b/crates/filbertgrade-coord/src/names.rs
@@ -2,7 +2,7 @@
 //!
 //! A name consists of `a` to `z`, `0` to `9` and `-`, so it can be part of a
 //! header, a path or a log line without escaping. Names that another system has
-//! given may have other characters, see [`ExternalName`]. Names are reference
+//! given may have any characters, see [`ExternalName`]. Names are reference
 //! counted and therefore cheap to clone.
 
 use std::borrow::Borrow;
@@ -12,19 +12,33 @@
 /// Length limit of a name in bytes, which is that of a DNS label.
 pub const MAX_NAME_LEN: usize = 63;
 
-/// Length limit in bytes of a name that another system has given.
-pub const MAX_EXTERNAL_NAME_LEN: usize = 255;
+/// Length limit in bytes of a name that another system has given. A datagram between
+/// VMs has room for one.
+pub const MAX_EXTERNAL_NAME_LEN: usize = 1_024;
 
 /// A name that may come from another system, which has rules of its own for names.
 pub trait ExternalName: Sized {
-    /// Reads a name of another system: any text without white space and control
-    /// characters, so that it can still be part of a header or a log line.
+    /// Reads a name of another system: any text, white space and control characters
+    /// included. Headers and log lines need it escaped.
     ///
     /// # Errors
     ///
-    /// Fails when the text is empty, longer than [`MAX_EXTERNAL_NAME_LEN`], or has
-    /// other characters.
+    /// Fails when the text is empty or longer than [`MAX_EXTERNAL_NAME_LEN`].
     fn from_external(s: &str) -> Result<Self, NameError>;
+
+    /// Reads such a name where white space and control characters are a mistake, as in
+    /// a settings file or a query.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`from_external`](Self::from_external), and when the text has such
+    /// characters.
+    fn from_external_word(s: &str) -> Result<Self, NameError> {
+        match s.chars().find(|c| c.is_whitespace() || c.is_control()) {
+            Some(c) => Err(NameError(NameErrorKind::Unprintable(c))),
+            None => Self::from_external(s),
+        }
+    }
 }
 
 /// Defines a newtype for one kind of name, which can only hold a valid name.
@@ -135,7 +149,7 @@
     InvalidCharacter(char),
     #[error("a name of {0} bytes is longer than {MAX_EXTERNAL_NAME_LEN}")]
     ExternalTooLong(usize),
-    #[error("a name must not have white space or control characters, as {0:?}")]
+    #[error("white space and control characters are not allowed here, as {0:?}")]
     Unprintable(char),
 }
 
@@ -172,8 +186,5 @@
     if s.len() > MAX_EXTERNAL_NAME_LEN {
         return Err(NameError(NameErrorKind::ExternalTooLong(s.len())));
     }
-    match s.chars().find(|c| c.is_whitespace() || c.is_control()) {
-        Some(c) => Err(NameError(NameErrorKind::Unprintable(c))),
-        None => Ok(()),
-    }
+    Ok(())
 }
--- a/crates/filbertgrade/src/process/node/endpoint_rates.rs
+++ b/crates/filbertgrade/src/process/node/endpoint_rates.rs
@@ -80,7 +80,7 @@
         "event=endpoint_over_rate id={} endpoint={} holder={} answered={} wait_ms={}",
         call.id(),
         logfmt::value(endpoint),
-        request.holder,
+        logfmt::value(&request.holder),
         grant.is_some(),
         wait.as_millis(),
     );
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -325,7 +325,8 @@
     }
     if lock(&node.members).record_heartbeat(&vm, heartbeat, now) {
         log::info!(
-            "event=peer_state vm={vm} ready={} leaving={} store_unreachable={}",
+            "event=peer_state vm={} ready={} leaving={} store_unreachable={}",
+            logfmt::value(&vm),
             heartbeat.ready,
             heartbeat.leaving,
             heartbeat.store_unreachable,
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -357,7 +357,8 @@
     tokio::spawn(run_maintenance(Arc::clone(&node)));
     tokio::spawn(stop::reload_settings(Arc::clone(&node), path, reload));
     stop::serve_until(&node, callers, &peers, stop.received()).await;
-    log::info!("event=node_stopped vm={}", node.settings.load().vm);
+    let settings = node.settings.load();
+    log::info!("event=node_stopped vm={}", logfmt::value(&settings.vm));
     Ok(())
 }
 
@@ -365,11 +366,11 @@
     let settings = node.settings.load();
     log::info!(
         "event=node_started vm={} incarnation={} callers={} region={} failure_domain={} store={}",
-        settings.vm,
+        logfmt::value(&settings.vm),
         node.incarnation,
         settings.listen.callers,
-        settings.region,
-        settings.failure_domain,
+        logfmt::value(&settings.region),
+        logfmt::value(&settings.failure_domain),
         settings.store,
     );
 }
--- a/crates/filbertgrade/src/process/node/request.rs
+++ b/crates/filbertgrade/src/process/node/request.rs
@@ -367,16 +367,18 @@
     let ms = call.arrived.elapsed().as_millis();
     let context = format!(
         "route={} service={} team={} version={} attempts={} endpoint={} region={}",
-        call.route.name,
-        call.service,
-        call.team.as_ref().map_or("none", |team| team.name.as_str()),
+        logfmt::value(&call.route.name),
+        logfmt::value(&call.service),
+        logfmt::value(call.team.as_ref().map_or("none", |team| team.name.as_str())),
         call.version,
         progress.tried.len(),
         logfmt::value(progress.last_target.as_ref().map_or("none", |t| &t.key.id)),
-        progress
-            .last_target
-            .as_ref()
-            .map_or("none", |t| t.region.as_str()),
+        logfmt::value(
+            progress
+                .last_target
+                .as_ref()
+                .map_or("none", |t| t.region.as_str())
+        ),
     );
     let response = match result {
         Ok(response) => response,
--- a/crates/filbertgrade/src/process/node/running_attempt.rs
+++ b/crates/filbertgrade/src/process/node/running_attempt.rs
@@ -66,7 +66,7 @@
                 "event=endpoint_rests endpoint={} address={} service={} ms={}",
                 logfmt::value(&self.target.key),
                 self.target.address,
-                self.target.service,
+                logfmt::value(&self.target.service),
                 backoff.as_millis(),
             );
         }
@@ -115,7 +115,7 @@
             call.id(),
             logfmt::value(&target.key),
             target.address,
-            target.region,
+            logfmt::value(&target.region),
             status.map_or(0, |s| s.as_u16()),
             self.connection
                 .map_or(0, |connection| connection.sent_bytes),
--- a/crates/filbertgrade/src/process/node/stop.rs
+++ b/crates/filbertgrade/src/process/node/stop.rs
@@ -63,7 +63,7 @@
     node.stopping.send_replace(Some(schedule));
     log::info!(
         "event=leaving vm={} requests={} grace_ms={} accept_ms={} respond_ms={}",
-        settings.vm,
+        logfmt::value(&settings.vm),
         node.running_requests.count(),
         grace.as_millis(),
         (schedule.accept_until - now).as_millis(),
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -372,7 +372,7 @@
         RegistryChange::Written(id, Some(endpoint)) => log::info!(
             "event=endpoint_registered endpoint={} service={} address={} draining={} cold_ms={}",
             logfmt::value(id),
-            endpoint.service,
+            logfmt::value(&endpoint.service),
             endpoint.address,
             endpoint.draining,
             endpoint.cold_for.as_millis(),
--- a/crates/filbertgrade/src/process/node/tokens.rs
+++ b/crates/filbertgrade/src/process/node/tokens.rs
@@ -128,7 +128,8 @@
         admission = match grant {
             Some(grant) => lock(&node.quotas).handle_response(request, grant, now),
             None => {
-                let holder = &request.holder;
+                let team = logfmt::value(team);
+                let holder = logfmt::value(&request.holder);
                 log::info!("event=tokens_not_answered id={id} team={team} holder={holder}");
                 metrics::counter!("token_questions_unanswered_total").increment(1);
                 lock(&node.quotas).handle_timeout(request, now)
--- a/crates/filbertgrade/src/process/node/vm_entries.rs
+++ b/crates/filbertgrade/src/process/node/vm_entries.rs
@@ -93,6 +93,7 @@
             .collect()
     };
     for vm in timed_out {
+        let name = logfmt::value(&vm);
         let revision = lock(&node.vm_entries)
             .get(&vm)
             .map(|(_, revision)| *revision);
@@ -100,9 +101,12 @@
             .delete(Kind::Vms, vm.as_str(), revision, CALL_TIMEOUT)
             .await;
         match removed {
-            Ok(()) => log::info!("event=silent_vm_delisted vm={vm}"),
+            Ok(()) => log::info!("event=silent_vm_delisted vm={name}"),
             Err(error) => {
-                log::debug!("event=not_delisted vm={vm} error={}", logfmt::value(&error));
+                log::debug!(
+                    "event=not_delisted vm={name} error={}",
+                    logfmt::value(&error)
+                );
             }
         }
     }
