Assume the load of other VMs until an endpoint responds

Each other running VM of the region is now assumed to have as many requests at such an endpoint as this one has at the mean endpoint of the same region and service.

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -52,6 +52,10 @@
     pub(super) region: RegionName,
     /// Requests of this VM at the endpoint.
     pub(super) in_flight: u32,
+    /// It has responded to this VM, so that its load report, if it sends any, is known.
+    pub(super) has_responded: bool,
+    /// Requests of other VMs that are assumed until it responds.
+    pub(super) assumed_other_load: f64,
     /// Requests of other VMs according to the last load report.
     pub(super) other_load: f64,
     /// Moving average of `other_load` over the load reports.
@@ -122,6 +126,8 @@
             hash: endpoint_hash(&endpoint.key.id),
             region,
             in_flight: 0,
+            has_responded: false,
+            assumed_other_load: 0.0,
             other_load: 0.0,
             other_load_mean: 0.0,
             reported_at: None,
@@ -166,7 +172,11 @@
     /// Returns the best known estimate of the requests of all VMs at the
     /// endpoint: this VM's own, plus those of the others from the load reports.
     /// The last report counts most while it is recent, the average afterwards.
+    /// Before the first response those of the others are assumed.
     pub(super) fn load(&self, now: Instant) -> f64 {
+        if !self.has_responded {
+            return f64::from(self.in_flight) + self.assumed_other_load;
+        }
         let age = self.reported_at.map_or(f64::INFINITY, |at| {
             now.saturating_duration_since(at).as_secs_f64()
         });
@@ -246,6 +256,7 @@
         self.other_load = (requests - f64::from(self.in_flight)).max(0.0);
         self.other_load_mean += (self.other_load - self.other_load_mean) * REPORT_WEIGHT;
         self.reported_at = Some(now);
+        self.has_responded = true;
         if report.slots > 0 {
             self.endpoint.slots = report.slots;
         }
@@ -261,6 +272,7 @@
     ) -> Option<Duration> {
         match outcome {
             Outcome::Responded { latency, failed } => {
+                self.has_responded = true;
                 self.ejection = None;
                 self.displaced = None;
                 self.widen_return_window();
@@ -269,7 +281,10 @@
                 self.capacity = (self.capacity + 0.1)
                     .min(f64::from(self.endpoint.slots) * DEFAULT_CAPACITY_PER_SLOT);
             }
-            Outcome::Refused => self.record_refusal(now),
+            Outcome::Refused => {
+                self.record_refusal(now);
+                self.has_responded = true;
+            }
             Outcome::Misdirected => {
                 self.ejection = None;
                 let displaced = Ejection::after(self.displaced, DISPLACED_BACKOFF, now);
--- a/crates/filbertgrade-coord/src/steering/balancer/limits.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/limits.rs
@@ -29,7 +29,8 @@
 
 impl Balancer {
     /// Replaces the running VMs of each region, which grant the tokens of
-    /// endpoints that limit their rate. This VM is one of them.
+    /// endpoints that limit their rate, and whose requests are assumed at endpoints
+    /// that have not responded yet. This VM is one of them.
     pub fn set_vms_by_region(&mut self, vms: IndexMap<RegionName, Vec<VmName>>, now: Instant) {
         if self.limits.vms_changed_at.is_some() && self.limits.vms == vms {
             return;
@@ -154,6 +155,13 @@
 }
 
 impl LimitSharing {
+    /// Number of running VMs in the region of this one, without this one.
+    pub(super) fn other_vms_in(&self, region: &RegionName) -> usize {
+        self.vms
+            .get(region)
+            .map_or(0, |vms| vms.len().saturating_sub(1))
+    }
+
     fn holder(&self, state: &EndpointState, local: &VmName) -> Holder {
         let nearby = self.vms.get(&state.region).map_or(&[][..], Vec::as_slice);
         let vm = holder(&state.endpoint.key.id, nearby, self.vms.values().flatten());
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -236,9 +236,12 @@
     /// Each picked [`Target`] must be passed to [`Balancer::finish`] once the
     /// request has ended.
     pub fn pick(&mut self, request: &PickRequest<'_>, now: Instant) -> Pick {
-        let Some(service) = self.services.get(request.service) else {
+        let other_vms = self.limits.other_vms_in(&self.cfg.region);
+        let Some(service) = self.services.get_mut(request.service) else {
             return Pick::Refuse(PickRefusal::NoEndpoint);
         };
+        service.assume_load(other_vms);
+        let service = &self.services[request.service];
         let ranking = self.rank_endpoints(service, request, now);
         if ranking.is_empty() {
             return Pick::Refuse(PickRefusal::NoEndpoint);
--- a/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
@@ -1,6 +1,6 @@
 //! One VM's view of a service: its endpoints and the latency of its requests.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -173,6 +173,30 @@
                 <= request.target_latency.as_secs_f64() * MAX_LESS_URGENT_WAIT_FRACTION
     }
 
+    /// Sets the load that is assumed at endpoints that have not responded yet: each of
+    /// the `other_vms` of this VM's region is assumed to have as many requests at an
+    /// endpoint as this one has at the mean endpoint of the same region. If it were
+    /// taken for zero, the first requests of all VMs would fill the queues.
+    pub(super) fn assume_load(&mut self, other_vms: usize) {
+        if self.endpoints.values().all(|state| state.has_responded) {
+            return;
+        }
+        let mut regions: HashMap<RegionName, RequestsInRegion> = HashMap::new();
+        for state in self.endpoints.values() {
+            let region = match regions.get_mut(&state.region) {
+                Some(region) => region,
+                None => regions.entry(state.region.clone()).or_default(),
+            };
+            region.endpoints += 1;
+            region.in_flight += state.in_flight;
+        }
+        for state in self.endpoints.values_mut() {
+            if let Some(region) = regions.get(&state.region) {
+                state.assumed_other_load = other_vms as f64 * region.mean();
+            }
+        }
+    }
+
     /// Returns the total slots in a region, without endpoints that drain or
     /// whose failure domain is evacuated.
     pub(super) fn slots_in(
@@ -192,6 +216,19 @@
     }
 }
 
+/// Requests of this VM at the endpoints of a service in one region.
+#[derive(Debug, Default)]
+struct RequestsInRegion {
+    endpoints: u32,
+    in_flight: u32,
+}
+
+impl RequestsInRegion {
+    fn mean(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.endpoints.max(1))
+    }
+}
+
 pub(super) fn spill_config(cfg: &BalancerConfig) -> SpillConfig {
     SpillConfig {
         allowance: SPILL_ALLOWANCE,
--- a/crates/filbertgrade-coord/tests/steering/load.rs
+++ b/crates/filbertgrade-coord/tests/steering/load.rs
@@ -7,6 +7,7 @@
 
 use filbertgrade_coord::names::VmName;
 use filbertgrade_coord::steering::balancer::{Balancer, LoadReport, Outcome, Pick, Target};
+use filbertgrade_coord::steering::endpoint::Endpoint;
 use filbertgrade_coord::steering::placement::object_hash;
 use indexmap::IndexMap;
 use rstest::rstest;
@@ -394,3 +395,52 @@
     assert!(at_near <= allowed, "{at_near} requests, allowed {allowed}");
     assert!(at_near >= vms, "{at_near} requests of {vms} VMs");
 }
+
+/// Guards against an endpoint that stays unused because its load is assumed for
+/// longer than it is unknown: one response ends that, with a load report or not.
+#[rstest]
+#[case::with_report(Some(LoadReport { requests: 1, slots: 5 }))]
+#[case::without_report(None)]
+fn assumed_load_ends_with_the_first_response(#[case] report: Option<LoadReport>) {
+    let now = Instant::now();
+    let endpoints = [endpoint("near", "north", 5)];
+    let mut balancer = with_endpoints(balancer("vm-0", "north", &["north"]), &endpoints, now);
+    let names = (0..60).map(|n| vm(&format!("vm-{n}"))).collect();
+    balancer.set_vms_by_region(IndexMap::from([(region("north"), names)]), now);
+    let service = service();
+    let Pick::Send(first) = balancer.pick(&pick_request(&service, 1), now) else {
+        panic!("the first request is not sent");
+    };
+    let second = balancer.pick(&pick_request(&service, 2), now);
+    assert!(matches!(second, Pick::Refuse(_)), "{second:?}");
+    let outcome = Outcome::Responded {
+        latency: Duration::from_millis(200),
+        failed: false,
+    };
+    balancer.finish(&first, 1, outcome, report, now);
+    for object in 2..7 {
+        let pick = balancer.pick(&pick_request(&service, object), now);
+        assert!(matches!(pick, Pick::Send(_)), "{pick:?}");
+    }
+}
+
+/// Guards against endpoints of a large region that stay unused because each is
+/// assumed to have a request of every VM: with three requests of each VM at 20
+/// endpoints, less than one for each slot is assumed, and none is refused.
+#[test]
+fn assumed_load_is_spread_over_the_endpoints_of_a_region() {
+    const VMS: usize = 23;
+    let now = Instant::now();
+    let endpoints: Vec<Endpoint> = (0..20)
+        .map(|n| endpoint(&format!("near{n}"), "north", 5))
+        .collect();
+    let mut balancer = with_endpoints(balancer("vm-0", "north", &["north"]), &endpoints, now);
+    let names = (0..VMS).map(|n| vm(&format!("vm-{n}"))).collect();
+    balancer.set_vms_by_region(IndexMap::from([(region("north"), names)]), now);
+    for object in 0..3 {
+        let Pick::Send(target) = balancer.pick(&pick_request(&service(), object), now) else {
+            panic!("request {object} is refused");
+        };
+        assert!(target.load < f64::from(target.slots), "{target:?}");
+    }
+}
