--- a/crates/filbertgrade/tests/node/configuration.rs
+++ b/crates/filbertgrade/tests/node/configuration.rs
@@ -103,7 +103,11 @@
         cluster.get("safe", "b2").await.status == 503
     })
     .await;
-    assert!(elapsed < Duration::from_secs(5), "{elapsed:?}");
+    assert!(
+        elapsed < Duration::from_secs(5),
+        "{elapsed:?}\n{}",
+        cluster.nodes[0].log()
+    );
     let line = cluster.nodes[0]
         .line_with(&["event=refused", "id=b2"])
         .await;
--- a/crates/filbertgrade/tests/path/streaming.rs
+++ b/crates/filbertgrade/tests/path/streaming.rs
@@ -90,7 +90,10 @@
         .unwrap();
     tokio::spawn(connection);
     let response = sender.send_request(req).await.unwrap();
-    assert_eq!(response.status(), 200);
+    if response.status() != 200 {
+        let (head, body) = response.into_parts();
+        panic!("{head:?} {:?}", body.collect().await);
+    }
     tokio::time::sleep(Duration::from_millis(1500)).await;
     assert!(fleet.backends.iter().all(|b| b.busy() == 0));
     assert!(response.into_body().collect().await.is_err());
