Stop a process when one of its tasks panics

No such panic is known; found by reading.

Cause: the runtime keeps a panic inside its task, and nothing waited for the tasks.

VitalTasks spawns them: 13 in a node, 4 in an agent, 5 in an entry. A panic is logged once (event=task_panicked); node and entry then stop as on SIGTERM, the agent at once, and exit with 1. In a debug build FILBERTGRADE_PANIC_TASK makes one panic.

--- a/crates/filbertgrade/src/process/agent/mod.rs
+++ b/crates/filbertgrade/src/process/agent/mod.rs
@@ -24,6 +24,7 @@
 use crate::platform::{HttpPlatform, Platform, Revision};
 use crate::process::operator;
 use crate::process::settings::VmSettings;
+use crate::process::tasks::{TaskPanicked, VitalTasks};
 use crate::sync::lock;
 use crate::version::{OutgoingDeltas, VmRecord};
 use crate::wire::EntryReport;
@@ -59,6 +60,9 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// One of the agent's tasks has panicked.
+    #[error(transparent)]
+    Panicked(#[from] TaskPanicked),
 }
 
 /// State that all tasks of the agent share.
@@ -214,11 +218,12 @@
     }
 }
 
-/// Runs the agent until the process is stopped.
+/// Runs the agent until the process is stopped or one of its tasks panics. The entry
+/// on the VM then has no valid state until the agent is started again.
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound.
+/// Fails when an address cannot be bound or a task has panicked.
 pub async fn run(settings: VmSettings) -> Result<(), AgentError> {
     let address = SocketAddr::new(settings.address, settings.ports.agent_peer);
     let listener = TcpListener::bind(address)
@@ -232,14 +237,22 @@
         .await
         .map_err(|source| AgentError::Listen { address, source })?;
     operator::install_metrics_recorder();
-    tokio::spawn(dump::operator_port(&agent).serve(operator_listener));
-    tokio::spawn(store::follow_store(Arc::clone(&agent)));
-    tokio::spawn(pull::pull_from_peers(Arc::clone(&agent)));
-    tokio::spawn(allocator::run(Arc::clone(&agent)));
-    serve_frames(listener, move |peer, body| {
+    let tasks = VitalTasks::default();
+    tasks.spawn(
+        "operator_port",
+        dump::operator_port(&agent).serve(operator_listener),
+    );
+    tasks.spawn("store", store::follow_store(Arc::clone(&agent)));
+    tasks.spawn("pulls", pull::pull_from_peers(Arc::clone(&agent)));
+    tasks.spawn("allocator", allocator::run(Arc::clone(&agent)));
+    let serve_peers = serve_frames(listener, move |peer, body| {
         peers::handle(Arc::clone(&agent), peer, body)
-    })
-    .await;
+    });
+    tokio::select! {
+        () = serve_peers => {}
+        () = tasks.panicked() => {}
+    }
+    tasks.check()?;
     Ok(())
 }
 
--- a/crates/filbertgrade/src/process/entry/admission.rs
+++ b/crates/filbertgrade/src/process/entry/admission.rs
@@ -14,6 +14,7 @@
 
 use super::links::PeerLinks;
 use crate::logfmt;
+use crate::process::tasks::VitalTasks;
 use crate::request::{Cause, Refusal};
 use crate::sync::{lock, read, write};
 use crate::version::InForce;
@@ -50,6 +51,7 @@
     /// on the same VM.
     incarnation: u64,
     links: Arc<PeerLinks>,
+    vital_tasks: VitalTasks,
     /// All ledgers. The ledger of a team that was removed from the
     /// configuration is kept, because its loans may still be running if the
     /// team is added again.
@@ -86,11 +88,12 @@
 }
 
 impl Admission {
-    pub(crate) fn new(vm: VmName, links: Arc<PeerLinks>) -> Self {
+    pub(crate) fn new(vm: VmName, links: Arc<PeerLinks>, vital_tasks: VitalTasks) -> Self {
         Self {
             vm,
             incarnation: rand::random(),
             links,
+            vital_tasks,
             teams: RwLock::default(),
         }
     }
@@ -250,7 +253,8 @@
             }),
             wake: Notify::new(),
         });
-        tokio::spawn(run_ledger(Arc::clone(&share), Arc::clone(&self.links)));
+        let ledger_task = run_ledger(Arc::clone(&share), Arc::clone(&self.links));
+        self.vital_tasks.spawn("ledger", ledger_task);
         let mut teams = write(&self.teams);
         Arc::clone(teams.entry(team.clone()).or_insert(share))
     }
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -31,7 +31,7 @@
 use crate::platform::HttpPlatform;
 use crate::process::operator;
 use crate::process::settings::VmSettings;
-use crate::process::tasks::Tasks;
+use crate::process::tasks::{TaskPanicked, Tasks, VitalTasks};
 use crate::request::{Guard, RetryBudget, StopSchedule};
 use crate::sync::lock;
 use crate::version::InForce;
@@ -52,6 +52,9 @@
         /// The error of the operating system.
         source: std::io::Error,
     },
+    /// One of the entry's tasks has panicked.
+    #[error(transparent)]
+    Panicked(#[from] TaskPanicked),
 }
 
 /// State of the entry that all requests share.
@@ -80,6 +83,8 @@
     /// Tasks that may outlive the request that started them, such as recording
     /// an attempt.
     background: Tasks,
+    /// Tasks without which the entry must not go on.
+    vital_tasks: VitalTasks,
     retry_budget: Mutex<RetryBudget>,
     /// Times of the planned stop; `None` until the process has received the signal
     /// to stop.
@@ -91,15 +96,17 @@
         let in_force = Arc::new(ArcSwap::default());
         let links = Arc::new(PeerLinks::new(settings.clone()));
         let background = Tasks::default();
+        let vital_tasks = VitalTasks::default();
         let platform = Arc::new(HttpPlatform::new(settings.store, Some(settings.address)));
         Self {
-            admission: Admission::new(settings.vm.clone(), Arc::clone(&links)),
+            admission: Admission::new(settings.vm.clone(), Arc::clone(&links), vital_tasks.clone()),
             slots: Slots::new(settings.clone(), Arc::clone(&in_force), Arc::clone(&links)),
             pool: Pool::new(settings.address),
             guard: Guard::new(platform, background.clone()),
             caller_connections: Tasks::default(),
             refused_callers: Tasks::default(),
             background,
+            vital_tasks,
             retry_budget: Mutex::new(RetryBudget::new(Instant::now())),
             stopping: watch::Sender::new(None),
             settings,
@@ -145,11 +152,12 @@
     }
 }
 
-/// Runs the entry until `stop` resolves, then stops gracefully.
+/// Runs the entry until `stop` resolves or one of its tasks panics, then stops
+/// gracefully.
 ///
 /// # Errors
 ///
-/// Returns an error when a listening address cannot be bound.
+/// Returns an error when a listening address cannot be bound or a task has panicked.
 pub async fn run(
     settings: VmSettings,
     stop: impl Future<Output = ()> + Send,
@@ -166,14 +174,25 @@
     log::info!("event=entry_started vm={} address={address}", settings.vm);
     let entry = Arc::new(Entry::new(settings));
     operator::install_metrics_recorder();
-    tokio::spawn(dump::operator_port(&entry).serve(operator_listener));
-    tokio::spawn(feed::follow_agent(Arc::clone(&entry)));
-    tokio::spawn(serve_peers(Arc::clone(&entry), peer_listener));
-    tokio::spawn(close_expired(Arc::clone(&entry)));
+    let tasks = &entry.vital_tasks;
+    tasks.spawn(
+        "operator_port",
+        dump::operator_port(&entry).serve(operator_listener),
+    );
+    tasks.spawn("feed", feed::follow_agent(Arc::clone(&entry)));
+    tasks.spawn("peers", serve_peers(Arc::clone(&entry), peer_listener));
+    tasks.spawn("connections", close_expired(Arc::clone(&entry)));
     let close = watch::Sender::new(false);
+    let stop = async {
+        tokio::select! {
+            () = stop => {}
+            () = tasks.panicked() => {}
+        }
+    };
     let leave = shutdown::leave_on(&entry, stop);
     let schedule = caller::serve(&entry, listener, &close.subscribe(), leave).await;
     shutdown::stop_gracefully(&entry, &close, &schedule).await;
+    entry.vital_tasks.check()?;
     Ok(())
 }
 
--- a/crates/filbertgrade/src/process/node/mod.rs
+++ b/crates/filbertgrade/src/process/node/mod.rs
@@ -56,7 +56,7 @@
 use crate::logfmt;
 use crate::process::operator;
 use crate::process::signals::{StopSignals, reload_signal};
-use crate::process::tasks::Tasks;
+use crate::process::tasks::{TaskPanicked, Tasks, VitalTasks};
 use crate::request::StopSchedule;
 use crate::sync::lock;
 
@@ -109,6 +109,9 @@
         /// The cause.
         source: SettingsError,
     },
+    /// One of the node's tasks has panicked.
+    #[error(transparent)]
+    Panicked(#[from] TaskPanicked),
     /// Neither the flag nor the environment variable names a settings file.
     #[error("no settings file: use --settings or set {0}")]
     NoSettings(&'static str),
@@ -149,6 +152,8 @@
     pub(crate) body_budget: BodyBudget,
     /// Open connections of callers.
     pub(crate) caller_connections: Tasks,
+    /// Tasks without which the node must not go on.
+    vital_tasks: VitalTasks,
     /// Requests that are being handled.
     pub(crate) running_requests: Tasks,
     /// Times of the planned stop; `None` until the process has received a signal
@@ -200,6 +205,7 @@
             pool: Pool::with_limits(settings.address, limits),
             body_budget: BodyBudget::new(settings.memory_bytes),
             caller_connections: Tasks::default(),
+            vital_tasks: VitalTasks::default(),
             running_requests: Tasks::default(),
             stopping: watch::Sender::new(None),
             store_read: watch::Sender::new(()),
@@ -323,12 +329,13 @@
     }
 }
 
-/// Runs a node until it receives a signal to stop, then stops it gracefully.
+/// Runs a node until it receives a signal to stop or one of its tasks panics, then
+/// stops it gracefully.
 ///
 /// # Errors
 ///
 /// Fails when the settings cannot be read or are invalid, an address cannot be
-/// bound, or no signal handler can be installed.
+/// bound, no signal handler can be installed, or a task has panicked.
 pub async fn run(settings_path: Option<PathBuf>, metrics_port: u16) -> Result<(), NodeError> {
     let path = settings_file(settings_path)?;
     let settings = read_settings(&path)?;
@@ -347,18 +354,28 @@
     let peers = Arc::new(peers);
     let node = Arc::new(Node::new(settings, Arc::clone(&peers)));
     log_start(&node);
-    tokio::spawn(dump::operator_port(&node).serve(operators));
-    tokio::spawn(callers::serve_lookups(Arc::clone(&node), lookups));
-    tokio::spawn(callers::serve_lookups(Arc::clone(&node), ready));
-    tokio::spawn(heartbeat::receive(Arc::clone(&node), Arc::clone(&peers)));
-    tokio::spawn(heartbeat::send(Arc::clone(&node), Arc::clone(&peers)));
-    tokio::spawn(relay::serve_pulls(Arc::clone(&node), relay));
+    let tasks = &node.vital_tasks;
+    let shared = || Arc::clone(&node);
+    tasks.spawn("operator_port", dump::operator_port(&node).serve(operators));
+    tasks.spawn("lookups", callers::serve_lookups(shared(), lookups));
+    tasks.spawn("readiness", callers::serve_lookups(shared(), ready));
+    let peer_socket = || Arc::clone(&peers);
+    tasks.spawn("heartbeats_in", heartbeat::receive(shared(), peer_socket()));
+    tasks.spawn("heartbeats_out", heartbeat::send(shared(), peer_socket()));
+    tasks.spawn("pulls", relay::serve_pulls(shared(), relay));
     store::spawn_followers(&node);
-    tokio::spawn(run_maintenance(Arc::clone(&node)));
-    tokio::spawn(stop::reload_settings(Arc::clone(&node), path, reload));
-    stop::serve_until(&node, callers, &peers, stop.received()).await;
+    tasks.spawn("maintenance", run_maintenance(shared()));
+    tasks.spawn("settings", stop::reload_settings(shared(), path, reload));
+    let stop = async {
+        tokio::select! {
+            () = stop.received() => {}
+            () = tasks.panicked() => {}
+        }
+    };
+    stop::serve_until(&node, callers, &peers, stop).await;
     let settings = node.settings.load();
     log::info!("event=node_stopped vm={}", logfmt::value(&settings.vm));
+    node.vital_tasks.check()?;
     Ok(())
 }
 
--- a/crates/filbertgrade/src/process/node/store.rs
+++ b/crates/filbertgrade/src/process/node/store.rs
@@ -60,11 +60,16 @@
 
 /// Starts the tasks that follow the store.
 pub(super) fn spawn_followers(node: &Arc<Node>) {
-    tokio::spawn(follow_kind(Arc::clone(node), Configuration::default()));
-    tokio::spawn(follow_kind(Arc::clone(node), Endpoints));
-    tokio::spawn(follow_kind(Arc::clone(node), Evacuations::default()));
-    tokio::spawn(follow_kind(Arc::clone(node), Vms::default()));
-    tokio::spawn(vm_entries::keep_listed(Arc::clone(node)));
+    let tasks = &node.vital_tasks;
+    let shared = || Arc::clone(node);
+    tasks.spawn(
+        "configuration",
+        follow_kind(shared(), Configuration::default()),
+    );
+    tasks.spawn("endpoints", follow_kind(shared(), Endpoints));
+    tasks.spawn("evacuations", follow_kind(shared(), Evacuations::default()));
+    tasks.spawn("vms", follow_kind(shared(), Vms::default()));
+    tasks.spawn("vm_entry", vm_entries::keep_listed(shared()));
 }
 
 async fn follow_kind<F: Follower>(node: Arc<Node>, mut follower: F) {
--- a/crates/filbertgrade/tests/it/fleet.rs
+++ b/crates/filbertgrade/tests/it/fleet.rs
@@ -364,6 +364,34 @@
             .unwrap();
     }
 
+    /// Kills the agent or the entry and starts a new one of which one task panics 2 s
+    /// after its start. Returns its exit code, or `None` if it runs on for `limit`.
+    pub(crate) async fn exit_code_after_panic(
+        &mut self,
+        role: &str,
+        task: &str,
+        limit: Duration,
+    ) -> Option<i32> {
+        let child = if role == "agent" {
+            &mut self.agent
+        } else {
+            &mut self.entry
+        };
+        kill_and_reap(child);
+        *child = command(role, self.address, self.store, &self.platform_record)
+            .env("FILBERTGRADE_PANIC_TASK", task)
+            .spawn()
+            .unwrap();
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        None
+    }
+
     /// Returns the address of the callers' port.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, 7080)
--- a/crates/filbertgrade/tests/it/main.rs
+++ b/crates/filbertgrade/tests/it/main.rs
@@ -9,4 +9,5 @@
 #[expect(dead_code, reason = "other test targets use the rest of the harness")]
 mod fleet;
 mod leaving;
+mod panics;
 mod request_path;
--- a/crates/filbertgrade/tests/node/cluster.rs
+++ b/crates/filbertgrade/tests/node/cluster.rs
@@ -171,6 +171,20 @@
 
     /// Starts a node that the platform kills `grace_s` seconds after SIGTERM.
     pub(crate) async fn start_with_grace(name: &str, store: SocketAddr, grace_s: u64) -> Self {
+        Self::start_with(name, store, grace_s, &[]).await
+    }
+
+    /// Starts a node of which one task panics 2 s after its start.
+    pub(crate) async fn start_with_panic(name: &str, store: SocketAddr, task: &str) -> Self {
+        Self::start_with(name, store, 6, &[("FILBERTGRADE_PANIC_TASK", task)]).await
+    }
+
+    async fn start_with(
+        name: &str,
+        store: SocketAddr,
+        grace_s: u64,
+        environment: &[(&str, &str)],
+    ) -> Self {
         let ip = unique_loopback_address();
         let [callers, lookups, ready, peers, metrics] = PORTS;
         let address = |port: u16| SocketAddr::from((ip, port));
@@ -190,6 +204,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_filbertgrade"))
             .args(["node", "--metrics-port", &metrics.to_string(), "--settings"])
             .arg(&path)
+            .envs(environment.iter().copied())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
--- a/crates/filbertgrade/tests/node/main.rs
+++ b/crates/filbertgrade/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod odd_parts;
 mod outage;
+mod panics;
 mod permissions;
 mod requests;
 mod restart;
