Leave room in heartbeats for teams beside one with a long name

A team with a long name that uses much of its limit comes first, so all others went, and their limits were divided without their arrivals.

Each team stays now if it fits into what is left. The heartbeat's length is also computed once in place of once for each team that is removed.

long_name_leaves_room_for_other_teams_in_a_heartbeat (two names of 700 bytes and a short one, seen in the datagrams) fails without the change and passes with it.

--- a/crates/filbertgrade-coord/src/names.rs
+++ b/crates/filbertgrade-coord/src/names.rs
@@ -12,8 +12,8 @@
 /// Length limit of a name in bytes, which is that of a DNS label.
 pub const MAX_NAME_LEN: usize = 63;
 
-/// Length limit in bytes of a name that another system has given. A datagram between
-/// VMs has room for one.
+/// Length limit in bytes of a name that another system has given, such that a datagram
+/// between VMs has room for one.
 pub const MAX_EXTERNAL_NAME_LEN: usize = 1_024;
 
 /// A name that may come from another system, which has rules of its own for names.
--- a/crates/filbertgrade/src/process/node/heartbeat.rs
+++ b/crates/filbertgrade/src/process/node/heartbeat.rs
@@ -40,6 +40,9 @@
 /// Longest datagram that common links transmit without fragmentation.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Bytes of a field's number and length in a datagram, at most.
+const MAX_FIELD_OVERHEAD_BYTES: usize = 4;
+
 /// Longest list of names of VMs in a region summary, in bytes. The rest of the
 /// datagram is for the demand of teams.
 const MAX_SUMMARY_NAME_BYTES: usize = 500;
@@ -231,16 +234,24 @@
     }
 }
 
-/// Removes teams from the end of the demand, which are those furthest below
-/// their limits, until the heartbeat is at most [`MAX_DATAGRAM_BYTES`] long or no
-/// team is left.
+/// Removes the teams for which the heartbeat has no room, so that it is at most
+/// [`MAX_DATAGRAM_BYTES`] long: those furthest below their limits, which are the last,
+/// and any whose name is too long for the rest of the room.
 fn truncate_demand(wire: &mut WireHeartbeat) {
-    while wire.encoded_len() > MAX_DATAGRAM_BYTES {
-        let teams = wire.demand.as_mut().map(|demand| &mut demand.teams);
-        if teams.and_then(Vec::pop).is_none() {
-            return;
+    let Some(mut demand) = wire.demand.take() else {
+        return;
+    };
+    let used = wire.encoded_len() + MAX_FIELD_OVERHEAD_BYTES;
+    let mut room = MAX_DATAGRAM_BYTES.saturating_sub(used);
+    demand.teams.retain(|team| {
+        let needed = team.encoded_len() + MAX_FIELD_OVERHEAD_BYTES;
+        let fits = needed <= room;
+        if fits {
+            room -= needed;
         }
-    }
+        fits
+    });
+    wire.demand = Some(demand);
 }
 
 /// Receives and handles datagrams of other VMs until the process ends.
--- a/crates/filbertgrade/tests/node/odd_parts.rs
+++ b/crates/filbertgrade/tests/node/odd_parts.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use filbertgrade_standins::node::unique_loopback_address;
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 
 use crate::cluster::{KEY, Node, TestCluster, eventually};
 
@@ -125,6 +127,52 @@
     assert_eq!(with_name.count(), 3, "{expected:?} in {heads:#?}");
 }
 
+/// Guards against a long name that keeps the arrivals of other teams out of the
+/// heartbeats, by which the limits are divided.
+#[tokio::test]
+async fn long_name_leaves_room_for_other_teams_in_a_heartbeat() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    let long = ["x", "y"].map(|letter| letter.repeat(700));
+    cluster.configure(|spec| {
+        for name in &long {
+            // They use more of their limits than the default team, so they come first.
+            let team =
+                json!({"name": name, "api-keys": [&name[..1]], "rate-per-s": 20, "burst": 20});
+            spec["tenants"].as_array_mut().unwrap().push(team);
+        }
+    });
+    let socket = UdpSocket::bind((unique_loopback_address(), 0))
+        .await
+        .unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    let listener = json!({"incarnation": 1, "callers": address, "heartbeats": address,
+                          "region": "north", "failure_domain": "north-a"});
+    cluster.store.put("vms", "vm-listener", listener);
+    let node = &cluster.nodes[0];
+    let started_at = Instant::now();
+    let mut buf = [0; 4_096];
+    loop {
+        for key in ["x", "y", KEY] {
+            node.request("GET", "safe", key, Some(key)).await;
+        }
+        let received =
+            tokio::time::timeout(Duration::from_millis(100), socket.recv(&mut buf)).await;
+        if let Ok(Ok(len)) = received {
+            let heartbeat = String::from_utf8_lossy(&buf[..len]);
+            let has_long = long.iter().any(|name| heartbeat.contains(name.as_str()));
+            if has_long && heartbeat.contains("atelier") {
+                assert!(len <= 1_400, "{len}");
+                return;
+            }
+        }
+        assert!(
+            started_at.elapsed() < Duration::from_secs(10),
+            "{}",
+            node.log()
+        );
+    }
+}
+
 /// Guards against teams that cannot be read, all of them, and requests that then run
 /// without a key.
 #[tokio::test]
