Assume the load of other VMs for two seconds at most

Cause: a VM of a large region meets many of its endpoints only after minutes. Until an endpoint responds, the VM's own few requests elsewhere stand for those of 50 other VMs, so that one request more or less makes all unknown endpoints look full or free.

The assumption now ends two seconds after the endpoint became known, which is what it is for: the first responses take about a second.

load_is_assumed_only_while_an_endpoint_is_new fails without the limit (by the same arithmetic as many_vms: 1 of 6 requests is sent).

--- a/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/endpoint_state.rs
@@ -40,6 +40,11 @@
 /// costs few requests to find out that it was one.
 const DISPLACED_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(16));
 
+/// How long the load of other VMs is assumed at an endpoint that does not respond. Its
+/// first responses take about a second; later, a few requests of this VM say little
+/// about those of many others.
+const ASSUMED_LOAD_TIME: Duration = Duration::from_secs(2);
+
 /// Requests for each slot that an endpoint is assumed to hold, running and
 /// queued, until it refuses one.
 const DEFAULT_CAPACITY_PER_SLOT: f64 = 4.0;
@@ -53,8 +58,10 @@
     /// Requests of this VM at the endpoint.
     pub(super) in_flight: u32,
     /// It has responded to this VM, so that its load report, if it sends any, is known.
-    pub(super) has_responded: bool,
-    /// Requests of other VMs that are assumed until it responds.
+    has_responded: bool,
+    /// When this VM learned of it.
+    known_since: Instant,
+    /// Requests of other VMs, while [`is_load_assumed`](Self::is_load_assumed).
     pub(super) assumed_other_load: f64,
     /// Requests of other VMs according to the last load report.
     pub(super) other_load: f64,
@@ -127,6 +134,7 @@
             region,
             in_flight: 0,
             has_responded: false,
+            known_since: now,
             assumed_other_load: 0.0,
             other_load: 0.0,
             other_load_mean: 0.0,
@@ -172,9 +180,9 @@
     /// Returns the best known estimate of the requests of all VMs at the
     /// endpoint: this VM's own, plus those of the others from the load reports.
     /// The last report counts most while it is recent, the average afterwards.
-    /// Before the first response those of the others are assumed.
+    /// Those of the others may be [assumed](Self::is_load_assumed) instead.
     pub(super) fn load(&self, now: Instant) -> f64 {
-        if !self.has_responded {
+        if self.is_load_assumed(now) {
             return f64::from(self.in_flight) + self.assumed_other_load;
         }
         let age = self.reported_at.map_or(f64::INFINITY, |at| {
@@ -184,6 +192,11 @@
         f64::from(self.in_flight) + (self.other_load_mean + recent).max(0.0)
     }
 
+    /// The endpoint has not responded yet, and is not known for long.
+    pub(super) fn is_load_assumed(&self, now: Instant) -> bool {
+        !self.has_responded && now.saturating_duration_since(self.known_since) < ASSUMED_LOAD_TIME
+    }
+
     /// Reports whether another endpoint has its address, as far as is known, so that
     /// no request may be sent now.
     pub(super) fn is_displaced(&self, now: Instant) -> bool {
--- a/crates/filbertgrade-coord/src/steering/balancer/limits.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/limits.rs
@@ -30,7 +30,7 @@
 impl Balancer {
     /// Replaces the running VMs of each region, which grant the tokens of
     /// endpoints that limit their rate, and whose requests are assumed at endpoints
-    /// that have not responded yet. This VM is one of them.
+    /// that have just become known. This VM is one of them.
     pub fn set_vms_by_region(&mut self, vms: IndexMap<RegionName, Vec<VmName>>, now: Instant) {
         if self.limits.vms_changed_at.is_some() && self.limits.vms == vms {
             return;
--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -240,7 +240,7 @@
         let Some(service) = self.services.get_mut(request.service) else {
             return Pick::Refuse(PickRefusal::NoEndpoint);
         };
-        service.assume_load(other_vms);
+        service.assume_load(other_vms, now);
         let service = &self.services[request.service];
         let ranking = self.rank_endpoints(service, request, now);
         if ranking.is_empty() {
--- a/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
@@ -173,12 +173,13 @@
                 <= request.target_latency.as_secs_f64() * MAX_LESS_URGENT_WAIT_FRACTION
     }
 
-    /// Sets the load that is assumed at endpoints that have not responded yet: each of
+    /// Sets the load that is assumed at endpoints that have just become known: each of
     /// the `other_vms` of this VM's region is assumed to have as many requests at an
     /// endpoint as this one has at the mean endpoint of the same region. If it were
     /// taken for zero, the first requests of all VMs would fill the queues.
-    pub(super) fn assume_load(&mut self, other_vms: usize) {
-        if self.endpoints.values().all(|state| state.has_responded) {
+    pub(super) fn assume_load(&mut self, other_vms: usize, now: Instant) {
+        let mut endpoints = self.endpoints.values();
+        if !endpoints.any(|state| state.is_load_assumed(now)) {
             return;
         }
         let mut regions: HashMap<RegionName, RequestsInRegion> = HashMap::new();
--- a/crates/filbertgrade-coord/tests/steering/load.rs
+++ b/crates/filbertgrade-coord/tests/steering/load.rs
@@ -424,6 +424,26 @@
     }
 }
 
+/// Guards against an endpoint that stays unused in a large region: until its first
+/// response, a few requests of this VM elsewhere would stand for those of many others.
+#[test]
+fn load_is_assumed_only_while_an_endpoint_is_new() {
+    let start = Instant::now();
+    let endpoints = [endpoint("busy", "north", 5), endpoint("unused", "north", 5)];
+    let mut balancer = with_endpoints(balancer("vm-0", "north", &["north"]), &endpoints, start);
+    let names = (0..60).map(|n| vm(&format!("vm-{n}"))).collect();
+    balancer.set_vms_by_region(IndexMap::from([(region("north"), names)]), start);
+    let sent = |balancer: &mut Balancer, now| {
+        let sends = |object| {
+            let pick = balancer.pick(&pick_request(&service(), object), now);
+            matches!(pick, Pick::Send(_))
+        };
+        (0..6).map(sends).filter(|sent| *sent).count()
+    };
+    assert!(sent(&mut balancer, start) < 6);
+    assert_eq!(sent(&mut balancer, start + Duration::from_secs(3)), 6);
+}
+
 /// Guards against endpoints of a large region that stay unused because each is
 /// assumed to have a request of every VM: with three requests of each VM at 20
 /// endpoints, less than one for each slot is assumed, and none is refused.
