Forget a slow latency with time, so that a VM does not refuse everything for good

Cause, from its log: its first response took 2.9 s (long work). The first sample sets the latency of a cache miss, and with it every endpoint is expected to respond later than any deadline. Refused requests measure nothing, so the estimate stays. The class: a decision that stops the measurements on which it rests. Failures and slowness of endpoints decay for that reason, the latencies of a service did not.

Ruled out: the assumed load of other VMs (endpoints long responded, in flight 0), ejections (no endpoint_rests line), cold endpoints (cold_ms=0), pauses (retry_after_ms below 300).

What a learned latency exceeds the assumed one by halves every 4 s since it was last learned. While responses arrive nothing changes.

slow_response_ends_no_service: of 100 requests after one slow response 0 were served before, at least 90 now.

--- a/crates/filbertgrade-coord/src/steering/balancer/mod.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/mod.rs
@@ -334,7 +334,7 @@
         {
             let hash = endpoint_hash(&target.key.id);
             record_served(&mut self.last_served, (object, hash), now);
-            service.record_latency(target, latency);
+            service.record_latency(target, latency, now);
         }
         let state = service.endpoints.get_mut(&target.key)?;
         state.in_flight = state.in_flight.saturating_sub(1);
--- a/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/ranking.rs
@@ -243,17 +243,16 @@
         let slots = f64::from(state.endpoint.slots);
         // A hit is expected to be at least as fast as a miss, so queued requests
         // are assumed to take as long as a hit.
-        let queued_latency = service
-            .expected_hit_latency(request)
-            .min(service.expected_miss_latency(request));
+        let hit_latency = service.expected_hit_latency(request, now);
+        let miss_latency = service.expected_miss_latency(request, now);
+        let queued_latency = hit_latency.min(miss_latency);
         let wait = (load + 1.0 - slots).max(0.0) / slots * queued_latency * slowness;
-        let saved = service.expected_miss_latency(request) - service.expected_hit_latency(request);
         let work = if object_cached || !request.sticky {
-            service.expected_hit_latency(request)
+            hit_latency
         } else if rank == 0 {
-            service.expected_miss_latency(request)
+            miss_latency
         } else {
-            service.expected_miss_latency(request) + saved * EVICTION_COST
+            miss_latency + (miss_latency - hit_latency) * EVICTION_COST
         };
         let cold_factor = if state.is_cold(now) { 2.0 } else { 1.0 };
         let failures = state.decayed(state.failures, 0.0, now);
--- a/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
+++ b/crates/filbertgrade-coord/src/steering/balancer/service_state.rs
@@ -28,6 +28,10 @@
 /// evicted the object.
 const HIT_QUANTILE: f64 = 0.4;
 
+/// Half-life of the part of a learned latency that exceeds the assumed one, since it was
+/// last learned. A VM that refuses all requests for it learns nothing new.
+const LEARNED_LATENCY_HALF_LIFE: Duration = Duration::from_secs(4);
+
 /// Assumed latency of a cache miss before one is measured, as a fraction of the
 /// target latency.
 const DEFAULT_MISS_LATENCY_FRACTION: f64 = 1.2;
@@ -68,16 +72,23 @@
     pub(super) spill: SpillLimit,
     /// Number of requests that left the region of their preferred endpoint.
     pub(super) spilled: u64,
-    /// Latency in seconds of a request whose object is not in the endpoint's
-    /// cache; `None` before one was measured.
-    pub(super) miss_latency: Option<f64>,
-    /// Latency in seconds of a request whose object is in the endpoint's cache;
-    /// `None` before one was measured.
-    pub(super) hit_latency: Option<f64>,
+    /// Latency of a request whose object is not in the endpoint's cache; `None` before
+    /// one was measured.
+    miss_latency: Option<LearnedLatency>,
+    /// Latency of a request whose object is in the endpoint's cache; `None` before one
+    /// was measured.
+    hit_latency: Option<LearnedLatency>,
     /// Priority of the most urgent recent request, and when it was last seen.
     pub(super) most_urgent: Option<(u32, Instant)>,
 }
 
+/// A quantile of the latencies of responses.
+#[derive(Clone, Copy, Debug)]
+struct LearnedLatency {
+    seconds: f64,
+    learned_at: Instant,
+}
+
 /// An endpoint that a request could be sent to, with its estimated cost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
@@ -109,21 +120,22 @@
 
     /// Returns the expected latency of a cache miss in seconds, which is never
     /// shorter than that of a hit.
-    pub(super) fn expected_miss_latency(&self, request: &PickRequest<'_>) -> f64 {
+    pub(super) fn expected_miss_latency(&self, request: &PickRequest<'_>, now: Instant) -> f64 {
         let default = default_latency(request, DEFAULT_MISS_LATENCY_FRACTION);
         self.miss_latency
-            .unwrap_or(default)
-            .max(self.expected_hit_latency(request))
+            .map_or(default, |learned| learned.decayed(default, now))
+            .max(self.expected_hit_latency(request, now))
     }
 
     /// Returns the expected latency of a cache hit in seconds.
-    pub(super) fn expected_hit_latency(&self, request: &PickRequest<'_>) -> f64 {
+    pub(super) fn expected_hit_latency(&self, request: &PickRequest<'_>, now: Instant) -> f64 {
         let default = default_latency(request, DEFAULT_HIT_LATENCY_FRACTION);
-        self.hit_latency.unwrap_or(default)
+        self.hit_latency
+            .map_or(default, |learned| learned.decayed(default, now))
     }
 
     /// Updates the latency of hits or misses with a measured one.
-    pub(super) fn record_latency(&mut self, target: &Target, latency: Duration) {
+    pub(super) fn record_latency(&mut self, target: &Target, latency: Duration, now: Instant) {
         let slots = f64::from(target.slots);
         if target.load + 1.0 > slots {
             // The latency includes a wait for a slot.
@@ -135,10 +147,13 @@
             (&mut self.miss_latency, MISS_QUANTILE)
         };
         let latency = latency.as_secs_f64();
-        let old = estimate.unwrap_or(latency);
+        let old = estimate.map_or(latency, |learned| learned.decayed(latency, now));
         let up = latency > old;
         let step = if up { quantile } else { quantile - 1.0 };
-        *estimate = Some(old * (1.0 + QUANTILE_STEP * step));
+        *estimate = Some(LearnedLatency {
+            seconds: old * (1.0 + QUANTILE_STEP * step),
+            learned_at: now,
+        });
     }
 
     pub(super) fn record_priority(&mut self, priority: u32, now: Instant) {
@@ -217,6 +232,16 @@
     }
 }
 
+impl LearnedLatency {
+    /// Returns the latency in seconds as of `now`: what exceeds `base` decays.
+    fn decayed(&self, base: f64, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.learned_at);
+        let half_lives = age.as_secs_f64() / LEARNED_LATENCY_HALF_LIFE.as_secs_f64();
+        let excess = (self.seconds - base).max(0.0);
+        self.seconds - excess * (1.0 - 0.5_f64.powf(half_lives))
+    }
+}
+
 /// Requests of this VM at the endpoints of a service in one region.
 #[derive(Debug, Default)]
 struct RequestsInRegion {
--- a/crates/filbertgrade-coord/tests/steering/load.rs
+++ b/crates/filbertgrade-coord/tests/steering/load.rs
@@ -464,3 +464,37 @@
         assert!(target.load < f64::from(target.slots), "{target:?}");
     }
 }
+
+/// Guards against a VM that refuses all requests for good after one slow response: it
+/// learns no other latency, because it sends none. As in the soak, seed 617.
+#[test]
+fn slow_response_ends_no_service() {
+    let start = Instant::now();
+    let endpoints: Vec<Endpoint> = (0..9)
+        .map(|n| endpoint(&format!("near{n}"), "north", 3))
+        .collect();
+    let mut balancer = with_endpoints(balancer("vm-0", "north", &["north"]), &endpoints, start);
+    let service = service();
+    let respond = |balancer: &mut Balancer, object, latency, now| {
+        let Pick::Send(target) = balancer.pick(&pick_request(&service, object), now) else {
+            return false;
+        };
+        let outcome = Outcome::Responded {
+            latency,
+            failed: false,
+        };
+        balancer.finish(&target, object, outcome, None, now);
+        true
+    };
+    let slow = Duration::from_millis(2_900);
+    assert!(respond(&mut balancer, 0, slow, start));
+    let mut served = 0;
+    for n in 1..=100 {
+        // Ten requests a second, each for another object.
+        let now = start + n * Duration::from_millis(100);
+        let fast = Duration::from_millis(130);
+        served += u32::from(respond(&mut balancer, n.into(), fast, now));
+    }
+    // All but those of the first second.
+    assert!(served >= 90, "{served} of 100 requests are served");
+}
