Answer requests on their way when a node stops accepting

Cause: hyper's graceful shutdown closes a connection at once on which nothing was read yet. The node began it in the moment in which it stopped accepting, and dropped what the kernel had accepted and the node had not.

CallerIo, which records when a connection was last used, moves from entry to process; the node uses it to close each connection after 0.3 s without a byte, and accepts what the kernel has established.

--- a/crates/filbertgrade/src/process/entry/caller.rs
+++ b/crates/filbertgrade/src/process/entry/caller.rs
@@ -17,10 +17,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::caller_io::CallerIo;
 use super::response::{Body, json, refuse};
 use super::{Entry, forward, lookup};
 use crate::logfmt;
+use crate::process::caller_io::CallerIo;
 use crate::process::tasks::TaskGuard;
 use crate::request::{Cause, Refusal};
 
--- a/crates/filbertgrade/src/process/entry/mod.rs
+++ b/crates/filbertgrade/src/process/entry/mod.rs
@@ -3,7 +3,6 @@
 
 mod admission;
 mod caller;
-mod caller_io;
 mod dump;
 mod feed;
 mod forward;
--- a/crates/filbertgrade/src/process/mod.rs
+++ b/crates/filbertgrade/src/process/mod.rs
@@ -2,6 +2,7 @@
 //! signals.
 
 pub mod agent;
+pub(crate) mod caller_io;
 pub mod command;
 pub mod entry;
 pub mod logs;
--- a/crates/filbertgrade/src/process/node/callers.rs
+++ b/crates/filbertgrade/src/process/node/callers.rs
@@ -19,6 +19,7 @@
 use super::responses::{self, Body};
 use super::{Node, request};
 use crate::logfmt;
+use crate::process::caller_io::CallerIo;
 use crate::sync::lock;
 
 /// Largest number of open connections of callers. Each takes a few kilobytes of
@@ -40,6 +41,14 @@
 /// stopping VM takes into account.
 pub(super) const LOOKUP_TTL: Duration = Duration::from_secs(1);
 
+/// How long after its time to accept a stopping node accepts connections that callers
+/// opened before.
+const FINAL_ACCEPT_TIME: Duration = Duration::from_millis(50);
+
+/// Idle time after which a stopping node closes a connection. After a shorter time it
+/// could close the connection while a request is in transit.
+const IDLE_TIME_BEFORE_CLOSE: Duration = Duration::from_millis(300);
+
 /// Pause after a connection could not be accepted, for example because no file
 /// descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -53,11 +62,11 @@
     stop: impl Future<Output = T>,
 ) -> T {
     let mut stop = pin!(stop);
-    loop {
+    let stopped = loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            result = &mut stop => return result,
+            stopped = &mut stop => break stopped,
         };
         match accepted {
             Ok((stream, _)) => accept(node, stream, close.clone()),
@@ -66,6 +75,21 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
+    };
+    let accepting = accept_established(node, &listener, close);
+    let _ = tokio::time::timeout(FINAL_ACCEPT_TIME, accepting).await;
+    stopped
+}
+
+/// Accepts connections that the kernel has already established. They would be
+/// reset when the listener is closed.
+async fn accept_established(
+    node: &Arc<Node>,
+    listener: &TcpListener,
+    close: &watch::Receiver<bool>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        accept(node, stream, close.clone());
     }
 }
 
@@ -98,17 +122,23 @@
         .map(|d| d.limits)
         .unwrap_or_default();
     let handler = service_fn(move |req| handle_request(Arc::clone(&node), req));
+    let io = CallerIo::new(stream);
+    let activity = io.activity();
     let mut server = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
             .max_buf_size(limits.head_bytes.clamp(8 * 1024, MAX_HEAD_BYTES))
-            .serve_connection(TokioIo::new(stream), handler)
+            .serve_connection(TokioIo::new(io), handler)
     );
+    let idle = async {
+        let _ = close.wait_for(|close| *close).await;
+        activity.wait_until_idle(IDLE_TIME_BEFORE_CLOSE).await;
+    };
     tokio::select! {
         // Errors of a connection concern only its caller.
         _ = &mut server => return,
-        _ = close.wait_for(|close| *close) => server.as_mut().graceful_shutdown(),
+        () = idle => server.as_mut().graceful_shutdown(),
     }
     let _ = server.await;
 }
--- a/crates/filbertgrade/tests/node/stop.rs
+++ b/crates/filbertgrade/tests/node/stop.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use crate::cluster::{KEY, TestCluster, eventually};
 
 /// Guards against a graceful stop that interrupts running requests, and against
@@ -39,6 +42,40 @@
     stopping.line_with(&["event=node_stopped"]).await;
 }
 
+/// Guards against a connection that is closed without a response, because the node stops
+/// accepting while its first request is on its way.
+#[tokio::test]
+async fn request_on_its_way_is_answered_when_the_node_stops_accepting() {
+    let mut cluster = TestCluster::start(&[1]).await;
+    let mut node = cluster.nodes.remove(0);
+    node.signal(rustix::process::Signal::TERM);
+    node.line_with(&["event=leaving"]).await;
+    // It accepts connections for 3 s.
+    tokio::time::sleep(Duration::from_millis(2_700)).await;
+    let mut callers = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(node.callers).await {
+        let id = format!("c{}", callers.len());
+        let head = node.request_head("GET", "safe", &id, Some(KEY));
+        callers.push(tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(55)).await;
+            stream.write_all(head.as_bytes()).await?;
+            let mut response = String::new();
+            stream.read_to_string(&mut response).await?;
+            Ok::<_, std::io::Error>(response)
+        }));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(callers.len() > 10, "{}", callers.len());
+    for (n, caller) in callers.into_iter().enumerate() {
+        let response = caller.await.unwrap();
+        let is_answered = response.as_ref().is_ok_and(|response| {
+            response.starts_with("HTTP/1.1 200") || response.starts_with("HTTP/1.1 503")
+        });
+        assert!(is_answered, "caller {n}: {response:?}\n{}", node.log());
+    }
+    assert!(node.wait_for_exit().await);
+}
+
 /// Guards against a node that SIGHUP terminates instead of making it reload its
 /// settings.
 #[tokio::test]
